--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr net::Time kCommandWithin = 5s;
+// A command is taken out of the ring as it comes: hundreds of clients share the memory limit.
+constexpr std::size_t kRing = 32 * 1024;
 
 bool Is(const std::string& word, const char* name) { return strcasecmp(word.c_str(), name) == 0; }
 
@@ -24,8 +26,8 @@
 Client::Client(net::Loop& loop, int fd, Acquirers& all)
     : loop_(loop),
       all_(all),
-      connection_(loop, fd, *this),
-      timer_(loop, [this] { Leave(); }),
+      connection_(loop, fd, *this, kRing),
+      timer_(loop, [this] { OnDue(); }),
       next_(loop, [this] { connection_.Resume(); }),
       quiet_since_(net::Loop::Now()) {}
 
@@ -79,7 +81,7 @@
 
 bool Client::TakenOn() {
   // One that has closed since it asked must not be taken on: it hands the message in elsewhere.
-  const bool heard = Say("+OK\r\n");
+  const bool heard = !connection_.Ended() && Say("+OK\r\n");
   Answered();
   return heard;
 }
@@ -97,7 +99,15 @@
   next_.After(net::Time(0));
 }
 
-bool Client::Say(const std::string& text) { return connection_.Send(text); }
+bool Client::Say(const std::string& text) {
+  if (connection_.Send(text)) return true;
+  timer_.After(net::Time(0));  // gone, or it reads nothing of what it asks for
+  return false;
+}
+
+void Client::OnDue() {
+  if (!parser_.idle() || !connection_.connected() || !connection_.flushed()) Leave();
+}
 
 void Client::OnClosed() { Leave(); }
 
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -34,6 +34,7 @@
   void Put(std::vector<std::string> command);
   bool Say(const std::string& text);
   void Leave();
+  void OnDue();
   void Answered();
 
   net::Loop& loop_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -22,7 +22,7 @@
 }
 
 // Limits are told as whole or fractional numbers; one that is absent leaves the default.
-void Limit(const Json& limits, const char* key, double least, std::size_t* value) {
+void Limit(const Json& limits, const char* key, double least, double unit, std::size_t* value) {
   const auto it = limits.find(key);
   if (it == limits.end()) return;
   const std::string name = std::string("limits.") + key;
@@ -31,7 +31,7 @@
   if (!(number >= least && number <= 1e9)) {
     throw Error(name, "must be at least " + Json(least).dump() + ", not " + it->dump());
   }
-  *value = static_cast<std::size_t>(number);
+  *value = static_cast<std::size_t>(number * unit);
 }
 
 std::uint64_t Seed(const Json& object) {
@@ -78,9 +78,9 @@
   c.seed = Seed(root);
   const Json limits = root.value("limits", Json::object());
   if (!limits.is_object()) throw Error("limits", "must be an object");
-  Limit(limits, "memory_mb", 16, &c.memory_mb);
-  Limit(limits, "sockets", 32, &c.sockets);
-  Limit(limits, "disk_mb", 0.25, &c.disk_mb);
+  Limit(limits, "memory_mb", 16, 1, &c.memory_mb);
+  Limit(limits, "sockets", 32, 1, &c.sockets);
+  Limit(limits, "disk_mb", 0.25, 1e6, &c.disk_bytes);
   // On scored days no more than 1,024 are given, whatever the file says.
   c.sockets = std::min<std::size_t>(c.sockets, 1024);
   c.known = root.value("known", Json::object()).dump();
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -25,8 +25,8 @@
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
-  std::size_t disk_mb = 3;
-  std::string known;  // discovery's list as last had, as JSON text
+  std::size_t disk_bytes = 3'000'000;  // limits.disk_mb, which may be a fraction
+  std::string known;                   // discovery's list as last had, as JSON text
   wheathub::Settings settings;
   std::vector<std::string> zones;  // their names, in the settings' order
 
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr net::Time kSweepEach = 200ms;
+constexpr net::Time kForgetAfter = 60s;  // a host that left the list
 // A host closes an idle line at its keepalive at the latest, and what is written to it from then on is a
 // reset that may have run: lines are retired while the host surely still holds them.
 constexpr double kKeepShare = 0.8;
@@ -42,7 +43,9 @@
     std::map<std::string, bool> named;
     for (const relay::Host& host : change.hosts) named[host.info.id] = true;
     for (auto& [id, host] : hosts_) {
-      if (named.count(id) == 0 && std::exchange(host.ready, false)) host.unready_since = net::Loop::Now();
+      if (named.count(id) > 0) continue;
+      if (std::exchange(host.ready, false)) host.unready_since = net::Loop::Now();
+      host.gone = true;
     }
   }
   for (const relay::Host& host : change.hosts) Adopt(host);
@@ -53,6 +56,7 @@
   const bool ready = news.info.lifecycle == wheathub::Lifecycle::kUp;
   if (host.ready && !ready) host.unready_since = net::Loop::Now();
   host.ready = ready;
+  host.gone = news.info.lifecycle == wheathub::Lifecycle::kRemoved;
   host.zone = news.info.zone;
   if (!news.address.empty() && news.address != host.address) {
     CloseIdle(host);
@@ -197,6 +201,10 @@
     OnEnd(*line, {Outcome::kNoConnection, false, net::Time(0)});
     Remove(hosts_.at(id), *line);
   }
+  std::erase_if(hosts_, [&](const auto& entry) {
+    const Host& host = entry.second;
+    return host.gone && host.lines.empty() && now - host.unready_since > kForgetAfter;
+  });
   if (limits_.keepalive <= 0s) return;
   const auto keep =
       net::Time(static_cast<net::Time::rep>(static_cast<double>(limits_.keepalive.count()) * kKeepShare));
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -36,7 +36,7 @@
     net::Address to{};
     bool known = false;  // the address can be read
     int zone = 0;
-    bool ready = false;
+    bool ready = false, gone = false;
     net::Time unready_since{0};
     net::Time told_at{0}, wait_until{0};
     std::vector<std::unique_ptr<Line>> lines;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -54,7 +54,7 @@
       : config_(c),
         phases_([this](Phase phase) { Entered(phase); }),
         discovery_address_(AddressOf("discovery", c.discovery)),
-        journal_(c.state, c.disk_mb * 1000 * 1000),
+        journal_(c.state, c.disk_bytes),
         clock_(loop_),
         issuer_(loop_, {c.most_lines(), c.settings.connect_timeout, c.settings.keepalive}, counters_),
         discovery_(loop_, discovery_address_, c.discovery, NamesOf(c), counters_),
@@ -96,6 +96,9 @@
         known.scope = wheathub::ListScope::kRemembered;
         discovery_.Known(known.revision);
         relay_.Recover(known);
+        std::cout << config_.name << ": " << counters_.recovered << " authorisations and "
+                  << counters_.recovered_notices << " notices owed, " << journal_.cut_bytes()
+                  << " torn bytes cut" << std::endl;
         break;
       }
       case Phase::kServing:
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -47,11 +47,11 @@
   if (fd < 0) return nullptr;
   auto connection = std::make_unique<Connection>(loop, fd, user);
   connection->connecting_ = true;
+  connection->Watch();
   if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
     connection->broken_ = true;
-    connection->io_.feed_event(ev::WRITE);
+    connection->io_.feed_event(ev::WRITE);  // told from the loop, as any other failure
   }
-  connection->Watch();
   return connection;
 }
 
@@ -137,6 +137,13 @@
   return fd_ >= 0 && !broken_ && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && Again(errno);
 }
 
+bool Connection::Ended() const {
+  char byte = 0;
+  if (fd_ < 0 || broken_) return true;
+  const ssize_t count = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && !Again(errno));
+}
+
 void Connection::Lose() {
   if (fd_ < 0) return;
   Close();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -46,6 +46,8 @@
   bool connected() const { return fd_ >= 0 && !connecting_; }
   // Whether the other side has ended it, or sent something, unnoticed so far.
   bool Quiet() const;
+  // Whether the other side has ended it, though the loop has not told so yet.
+  bool Ended() const;
   void Close();
   // Offers again what the user left unread.
   void Resume();
--- a/src/notice/notice.cpp
+++ b/src/notice/notice.cpp
@@ -1,5 +1,6 @@
 #include "notice/notice.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -10,8 +11,9 @@
 using namespace std::chrono_literals;
 
 // A notice is late 300 ms after its message's time: a platform that stays silent is asked anew well before.
-constexpr net::Time kAnswerWithin = 150ms;
-constexpr net::Time kRetryAfter = 20ms;
+constexpr net::Time kAnswerWithin = 200ms;
+constexpr net::Time kRetryFirst = 20ms;  // then doubling
+constexpr net::Time kRetryMost = 320ms;
 constexpr std::size_t kMostInOne = 256;
 
 }  // namespace
@@ -28,6 +30,7 @@
       host_(std::move(host)),
       counters_(counters),
       reader_(*this),
+      retry_after_(kRetryFirst),
       next_(loop, [this] { Next(); }),
       silence_(loop, [this] { Retry(); }) {}
 
@@ -69,6 +72,7 @@
   if (status_ < 200) return;
   if (status_ != 204) return Retry();
   silence_.Stop();
+  retry_after_ = kRetryFirst;
   for (const std::string& id : std::exchange(out_, {})) {
     owed_.erase(id);
     relay_->NoticeTaken(id);
@@ -83,7 +87,8 @@
   if (out_.empty()) return;
   counters_.notice_retries += 1;
   out_.clear();
-  next_.After(kRetryAfter);
+  next_.After(retry_after_);
+  retry_after_ = std::min(retry_after_ * 2, kRetryMost);
 }
 
 void Poster::Drop() {
--- a/src/notice/notice.hpp
+++ b/src/notice/notice.hpp
@@ -42,6 +42,7 @@
   relay::Relay* relay_ = nullptr;
   proto::HttpReader reader_;
   std::unique_ptr<net::Connection> connection_;
+  net::Time retry_after_;
   net::Timer next_;                          // the next batch, or the next try
   net::Timer silence_;                       // of a batch that is out
   std::map<std::string, std::string> owed_;  // lines by id
--- a/src/proto/resp.cpp
+++ b/src/proto/resp.cpp
@@ -39,11 +39,14 @@
     if (count < 1) return Bad("expected an array of bulk strings");
     arguments_ = static_cast<std::size_t>(count);
     command_.clear();
+    in_all_ = 0;
     step_ = Step::kLength;
   } else if (step_ == Step::kLength) {
     const long length = Number('$', static_cast<long>(kMostBytes));
     if (length < 0) return Bad("expected a bulk string of 64 KiB at most");
     length_ = static_cast<std::size_t>(length);
+    in_all_ += length_;
+    if (in_all_ > kMostInAll) return Bad("command too long");
     command_.emplace_back();
     step_ = length_ > 0 ? Step::kBytes : Step::kEnd;
   } else {
--- a/src/proto/resp.hpp
+++ b/src/proto/resp.hpp
@@ -14,6 +14,7 @@
 
   static constexpr std::size_t kMostArguments = 16;
   static constexpr std::size_t kMostBytes = 64 * 1024;  // of one argument
+  static constexpr std::size_t kMostInAll = kMostBytes + 4096;
 
   // Takes bytes until a command is whole or the input is bad; returns how many it took.
   std::size_t Feed(std::string_view bytes);
@@ -36,6 +37,7 @@
   std::string line_;
   std::size_t arguments_ = 0;  // of the command at hand
   std::size_t length_ = 0;     // of the argument at hand
+  std::size_t in_all_ = 0;     // of all arguments so far
   std::vector<std::string> command_;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -98,7 +98,7 @@
     return;
   }
   const auto most = static_cast<std::size_t>(std::max(0, settings_.max_open));
-  const bool full = most > 0 && held_.size() + fresh_.size() >= most;
+  const bool full = settled_ || (most > 0 && held_.size() + fresh_.size() >= most);
   const bool no_room = !journal_.CanHold(authorisation.body.size());
   if (full || no_room) {
     (full ? counters_.busy_full : counters_.busy_journal) += 1;
@@ -113,6 +113,14 @@
   Queue(std::move(message));
 }
 
+// Whoever is not taken on by now hears so: a connection that ends without an answer loses the message.
+void Relay::Settle() {
+  settled_ = true;
+  for (const auto& [id, fresh] : std::exchange(fresh_, {})) {
+    for (Acquirer* from : fresh.from) from->Refused(kComeAgain);
+  }
+}
+
 void Relay::Withdraw(Acquirer& from) {
   for (auto it = fresh_.begin(); it != fresh_.end(); ++it) {
     auto& waiting = it->second.from;
@@ -194,7 +202,7 @@
 
 void Relay::Do(const wheathub::SetTimer& timer) { timers_.emplace(timer.at, timer.token); }
 
-void Relay::Do(const wheathub::Log& log) { std::cout << "module: " << log.text << "\n"; }
+void Relay::Do(const wheathub::Log& log) { std::cout << "module: " << log.text << std::endl; }
 
 // Probes are calls that no client handed in, which the platform doesn't take; the settings never allow them.
 void Relay::Do(const wheathub::Probe& probe) {
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -48,7 +48,7 @@
   // One batch of events through the module, its actions in order.
   void Turn();
   // From now on nothing new is sent; legs that are out still end, on record.
-  void Settle() { settled_ = true; }
+  void Settle();
 
   std::size_t held() const { return held_.size(); }
   std::size_t out() const { return out_.size(); }
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -9,7 +9,8 @@
 using namespace std::chrono_literals;
 
 // A watch says something every 2 s; a machine that vanished says nothing, and TCP doesn't notice.
-constexpr net::Time kSilence = 4500ms;
+// What it has to tell counts as told after 6 s, and the module asks again up to 1.3 s after a failure.
+constexpr net::Time kSilence = 3200ms;
 constexpr std::size_t kLongestText = 4u << 20;
 
 }  // namespace
--- /dev/null
+++ b/tests/history_test.cpp
@@ -0,0 +1,91 @@
+// Messages that an earlier life of the sender took on: they go on under the rules of their class.
+#include <gtest/gtest.h>
+
+#include "rig.hpp"
+
+namespace wheathub::testing {
+namespace {
+
+Message Restored(const Rig& rig, int message_class, const History& history) {
+  Message m = rig.New("m1", message_class);
+  m.history = history;
+  return m;
+}
+
+Settings ZoneBound() {
+  Settings s = BasicSettings();
+  s.classes[1].repeats_bound_to_zone = true;
+  return s;
+}
+
+TEST(History, AttemptsAreCountedOn) {
+  Rig rig;
+  rig.List({At("a", 7)});
+  rig.Do({Restored(rig, 0, {.sends = 3, .last_endpoint = "a"})});
+  ASSERT_EQ(rig.Sends("m1"), 1);
+  rig.Do({rig.End("m1", Outcome::kServed, 3)});
+  EXPECT_EQ(rig.decider.held().messages, 0u);
+  EXPECT_EQ(rig.decider.held().calls, 0u);
+}
+
+TEST(History, TheMostAttemptsHoldOverLives) {
+  Rig rig;
+  rig.List({At("a", 7)});
+  rig.Do({Restored(rig, 0, {.sends = 8, .last_endpoint = "a"})});
+  EXPECT_EQ(rig.Sends("m1"), 0);
+  EXPECT_TRUE(rig.Refused("m1"));
+}
+
+TEST(History, WhatMayHaveRunIsRepeatedInItsZone) {
+  Rig rig(ZoneBound());
+  rig.List({At("a", 7, 0, 0), At("b", 7, 0, 1)});
+  rig.Do({Restored(rig, 1, {.sends = 1, .may_have_run = true, .since_risk = 2s, .risk_zone = 1})});
+  ASSERT_EQ(rig.Sends("m1"), 1);
+  EXPECT_EQ(rig.sent[0].endpoint, "b");
+}
+
+TEST(History, WhatMayHaveRunFailsPastItsWindow) {
+  Rig rig(ZoneBound());
+  rig.List({At("a", 7)});
+  rig.Do({Restored(rig, 1, {.sends = 1, .may_have_run = true, .since_risk = 16s})});
+  EXPECT_EQ(rig.Sends("m1"), 0);
+  EXPECT_TRUE(rig.Failed("m1"));
+  EXPECT_FALSE(rig.Refused("m1"));
+}
+
+TEST(History, WhatMayHaveRunAndMayNotBeRepeatedFails) {
+  Rig rig;
+  rig.List({At("a", 7)});
+  rig.Do({Restored(rig, 2, {.sends = 1, .may_have_run = true})});
+  EXPECT_EQ(rig.Sends("m1"), 0);
+  EXPECT_TRUE(rig.Failed("m1"));
+}
+
+TEST(History, ATimeThatRanOutMeanwhileEndsByWhatMayHaveRun) {
+  for (const bool may_have_run : {false, true}) {
+    Rig rig;
+    Message m = Restored(rig, 0, {.sends = 1, .may_have_run = may_have_run});
+    m.expires_in = -1s;
+    rig.Do({m});
+    EXPECT_EQ(rig.Failed("m1"), may_have_run);
+    EXPECT_EQ(rig.Refused("m1"), !may_have_run);
+  }
+}
+
+// A restart is no way round the budget: each restored message that was sent before costs a token.
+TEST(History, RestoredMessagesDrawTheirRepeatFromTheBucket) {
+  Rig rig;
+  rig.List({At("a", 7)});
+  std::vector<Event> events;
+  for (int i = 0; i < 9; ++i) {
+    Message m = Restored(rig, 0, {.sends = 1, .may_have_run = true, .last_endpoint = "a"});
+    m.id += std::to_string(i);
+    events.push_back(m);
+  }
+  rig.Do(events);
+  EXPECT_EQ(rig.failed.size(), 4u);
+  EXPECT_EQ(rig.sent.size(), 5u);
+}
+
+}  // namespace
+}  // namespace wheathub::testing
--- /dev/null
+++ b/tests/relay/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/relay/relay_test.cpp
@@ -0,0 +1,486 @@
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "rig.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+// One partner, cell 7, with a host in each of two rooms.
+struct Relayed {
+  World world;
+  RelayProcess relay{world};
+
+  explicit Relayed(int hosts = 1) {
+    world.AddHost("a", 7, "north-room");
+    if (hosts > 1) world.AddHost("b", 7, "east-room");
+  }
+  // Hands one in, and gives the call that it leads to.
+  HttpRequest Deliver(Client& client, const std::string& id, const std::string& body = "hello",
+                      int ms = 8000) {
+    client.Put(id, body, ms);
+    REQUIRE(client.Line() == "+OK");
+    return world.NextCall();
+  }
+  void UntilOver(Client& client, const char* counter, long count) {
+    world.Until([&] { return client.Counters()[counter] >= count; });
+  }
+};
+
+// ---- the plain way ----
+
+TEST_CASE("an authorisation is taken on, sent unchanged and counted as delivered") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const std::string body("a\0b\r\n\xff", 6);
+  const HttpRequest call = r.Deliver(client, "id-1", body);
+  CHECK(call.line == "POST /inbox HTTP/1.1");
+  CHECK(call.id() == "id-1");
+  CHECK(call.headers.at("idempotency-key") == "key1");
+  CHECK(call.headers.at("x-timeout").back() == 'm');
+  CHECK(std::stoi(call.headers.at("x-timeout")) <= 8000);
+  CHECK(call.body == body);
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  CHECK(client.Counters()["held"] == 0);
+  CHECK(r.world.notices.empty());
+}
+
+TEST_CASE("an id that is held gets its OK again and no second leg") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay), other(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  other.Put("id-1");
+  CHECK(other.Line() == "+OK");
+  CHECK_FALSE(r.world.CallWithin(100ms));
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  CHECK(client.Counters()["legs"] == 1);
+}
+
+TEST_CASE("calls one after the other share a connection, at the same time they don't") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  for (int i = 1; i <= 3; ++i) {
+    r.world.Answer(r.Deliver(client, "id-" + std::to_string(i)), "200 OK");
+    r.UntilOver(client, "delivered", i);
+  }
+  CHECK(r.world.connections_to_hosts() == 1);
+  const HttpRequest first = r.Deliver(client, "id-4"), second = r.Deliver(client, "id-5");
+  CHECK(first.from != second.from);
+  CHECK(r.world.connections_to_hosts() == 2);
+}
+
+TEST_CASE("a body of 64 KiB reaches a host that reads slowly whole") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const std::string body(64 * 1024, 'x');
+  const HttpRequest call = r.Deliver(client, "big", body);
+  CHECK(call.body == body);
+}
+
+// ---- what answers mean ----
+
+TEST_CASE("a told wait is kept, with its decimals") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  r.world.Answer(call, "429 Too Many", "Retry-After: 0.75\r\n");
+  const auto told = Clock::now();
+  const HttpRequest again = r.world.NextCall();
+  CHECK(Clock::now() - told >= 740ms);
+  CHECK(again.id() == "id-1");
+  r.world.Answer(again, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+}
+
+TEST_CASE("410 ends an authorisation, 504 leaves its end owed") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Answer(r.Deliver(client, "over"), "410 Gone");
+  r.UntilOver(client, "not_sent", 1);
+  CHECK(client.Counters()["held"] == 0);
+  r.world.Answer(r.Deliver(client, "spent"), "504 Spent");
+  const HttpRequest again = r.world.NextCall();
+  CHECK(again.id() == "spent");
+  r.world.Answer(again, "503 Full", "X-Over-Slots: 1\r\n");
+  const HttpRequest third = r.world.NextCall();
+  r.world.Answer(third, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  CHECK(client.Counters()["not_sent"] == 3);
+  CHECK(r.world.notices.empty());
+}
+
+TEST_CASE("a leg that may have run is repeated in the same room only") {
+  Relayed r(2);
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  const std::string first = r.world.HostOf(call);
+  r.world.Answer(call, "500 Oops");
+  const HttpRequest again = r.world.NextCall();
+  CHECK(r.world.HostOf(again) == first);
+  CHECK(again.headers.at("idempotency-key") == "key1");
+  again.from->Reset();  // broken after the last byte: may have run too
+  const HttpRequest third = r.world.NextCall();
+  CHECK(r.world.HostOf(third) == first);
+  r.world.Answer(third, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  CHECK(client.Counters()["reset"] == 1);
+}
+
+TEST_CASE("a refused connection proves that nothing ran: the other room is tried") {
+  Relayed r(2);
+  r.relay.Start();
+  r.world.Stop("a");
+  r.world.Stop("b");
+  Client client(r.relay);
+  client.Put("id-1", "hello", 1500);
+  REQUIRE(client.Line() == "+OK");
+  const auto notice = r.world.NoticeOf("id-1");
+  CHECK(notice.at("status") == "deferred");
+  CHECK(notice.at("again_ms").get<int>() > 0);
+  CHECK(client.Counters()["reset"] == 0);
+}
+
+TEST_CASE("a leg without an answer is cut at the deadline and ends as undeliverable in time") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const auto asked = Clock::now();
+  const HttpRequest call = r.Deliver(client, "id-1", "hello", 500);
+  CHECK(r.world.NoticeOf("id-1").at("status") == "undeliverable");
+  CHECK(Clock::now() - asked < 800ms);
+  CHECK_FALSE(r.world.CallWithin(50ms));
+  CHECK(client.Counters()["timed_out"] == 1);
+}
+
+// Guards against the reuse of a line whose host has just closed it.
+TEST_CASE("a connection that its host has closed while idle is not written to") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  r.relay.Signal(SIGSTOP);
+  call.from->Close();
+  client.Put("id-2");
+  r.relay.Signal(SIGCONT);
+  REQUIRE(client.Line() == "+OK");
+  r.world.Answer(r.world.NextCall(), "200 OK");
+  r.UntilOver(client, "delivered", 2);
+  CHECK(client.Counters()["reset"] == 0);
+}
+
+// ---- refusals ----
+
+TEST_CASE("what is over at once is refused as busy, and so is what max_open leaves no room for") {
+  Relayed r;
+  r.relay.config["settings"]["limits"]["max-open"] = 2;
+  r.relay.Start();
+  Client client(r.relay);
+  client.Put("late", "hello", 0);
+  CHECK(client.Line().substr(0, 5) == "-BUSY");
+  r.Deliver(client, "id-1");
+  // No host serves it, so it would stand where others could: the step that takes it refuses it.
+  client.Put("nowhere", "hello", 8000, ",k=key1,dest=99");
+  CHECK(client.Line().substr(0, 6) == "-BUSY ");
+  CHECK(client.Counters()["busy_by_module"] == 2);
+  r.Deliver(client, "id-2");
+  client.Put("id-3");
+  CHECK(client.Line().substr(0, 6) == "-BUSY ");
+  CHECK(client.Counters()["busy_full"] == 1);
+  CHECK(r.world.notices.empty());
+}
+
+TEST_CASE("a journal without room refuses, and its files stay within the limit") {
+  Relayed r;
+  r.relay.config["limits"]["disk_mb"] = 1;
+  r.relay.config["settings"]["limits"]["max-open"] = 1000;
+  r.relay.Start();
+  Client client(r.relay);
+  const std::string body(60 * 1024, 'x');
+  int taken = 0, refused = 0;
+  for (int i = 0; i < 30; ++i) {
+    client.Put("id-" + std::to_string(i), body);
+    const std::string answer = client.Line();
+    taken += answer == "+OK";
+    refused += answer.substr(0, 5) == "-BUSY";
+    std::uintmax_t bytes = 0;
+    for (const auto& file : std::filesystem::directory_iterator(r.relay.state())) bytes += file.file_size();
+    REQUIRE(bytes <= 1000 * 1000);
+  }
+  CHECK(taken >= 4);
+  CHECK(refused >= 10);
+  CHECK(taken + refused == 30);
+}
+
+TEST_CASE("bad input gets an error and a close, and harms nobody else") {
+  Relayed r;
+  r.relay.Start();
+  const std::string huge = std::to_string(65 * 1024);
+  for (const std::string bad :
+       {"GET / HTTP/1.1\r\n\r\n", "*1\r\n:5\r\n", "*99\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx\r\n"}) {
+    Client client(r.relay);
+    CHECK(client.Ask(bad).substr(0, 4) == "-ERR");
+    CHECK(client.Line().empty());
+  }
+  Client large(r.relay);
+  CHECK(large.Ask("*2\r\n$4\r\nPING\r\n$" + huge + "\r\n").substr(0, 4) == "-ERR");
+  Client split(r.relay);
+  split.Put("two\r\nlines");
+  CHECK(split.Line().substr(0, 4) == "-ERR");
+  Client unknown(r.relay);
+  unknown.Put("id-1", "hello", 100, ",c=other,dest=7");
+  CHECK(unknown.Line().substr(0, 4) == "-ERR");
+  Client good(r.relay);
+  good.socket().Send("*1\r\n$4\r\nPI");
+  CHECK(good.Ask("NG\r\n") == "+PONG");
+}
+
+TEST_CASE("commands behind one another on a connection are answered in order") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  client.Put("id-1");
+  client.Put("id-2");
+  client.socket().Send("*1\r\n$4\r\nPING\r\n");
+  CHECK(client.Line() == "+OK");
+  CHECK(client.Line() == "+OK");
+  CHECK(client.Line() == "+PONG");
+}
+
+// Guards against sending what nobody was told is taken on: its client hands it in elsewhere.
+TEST_CASE("a client that is gone before its answer withdraws the authorisation") {
+  Relayed r;
+  r.relay.Start();
+  Client watcher(r.relay);
+  REQUIRE(watcher.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  {
+    Client client(r.relay);
+    REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+    r.relay.Signal(SIGSTOP);
+    client.Put("id-1");
+  }
+  r.relay.Signal(SIGCONT);
+  r.UntilOver(watcher, "withdrawn", 1);
+  CHECK_FALSE(r.world.CallWithin(50ms));
+  CHECK(watcher.Counters()["held"] == 0);
+  CHECK(watcher.Counters()["taken_on"] == 0);
+}
+
+// Guards against a relay without descriptors left for its legs.
+TEST_CASE("more clients than there is room for cost nobody his legs") {
+  Relayed r;
+  r.relay.config["limits"]["sockets"] = 40;
+  r.relay.Start();
+  std::vector<Client> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.emplace_back(r.relay);
+    CHECK(clients.back().Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  }
+  r.world.Answer(r.Deliver(clients.back(), "id-1"), "200 OK");
+  r.UntilOver(clients.back(), "delivered", 1);
+}
+
+// ---- discovery ----
+
+TEST_CASE("nothing new goes to a host that drains") {
+  Relayed r(2);
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Until([&] { return r.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  r.world.SetState("b", "Terminating");
+  r.UntilOver(client, "list_changes", changes + 1);
+  for (int i = 0; i < 5; ++i) {
+    const HttpRequest call = r.Deliver(client, "id-" + std::to_string(i));
+    CHECK(r.world.HostOf(call) == "a");
+    r.world.Answer(call, "200 OK");
+  }
+}
+
+// A drain is counted from a send's first byte, which a slow connection writes long after the decision.
+TEST_CASE("a leg that still connects when its host drains is not written") {
+  Relayed r;
+  // A host with its queue full of strangers: the leg's own connection comes up only once there is room.
+  Socket full = Socket::Listen(0);
+  std::vector<Socket> strangers;
+  strangers.push_back(Socket::Connect(full.port()));
+  r.world.AddHost("slow", 8);
+  r.world.SetPort("slow", full.port());
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Until([&] { return r.world.watches == 1; });
+  client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  r.UntilOver(client, "legs", 1);
+  const long changes = client.Counters()["list_changes"];
+  r.world.SetState("slow", "Terminating");
+  r.UntilOver(client, "list_changes", changes + 1);
+  r.world.CallWithin(150ms);  // past the slack that a drain allows
+  const Socket stranger(accept(full.fd(), nullptr, nullptr));
+  const Socket late(accept(full.fd(), nullptr, nullptr));
+  CHECK(late.Receive(1500ms).empty());
+  CHECK(client.Counters()["served"] == 0);
+}
+
+TEST_CASE("a watch that falls silent is asked for again in time") {
+  Relayed r;
+  r.relay.Start();
+  r.world.Until([&] { return r.world.watches == 1; });
+  r.world.heartbeats = false;
+  const auto silent = Clock::now();
+  r.world.Until([&] { return r.world.watches == 2; });
+  CHECK(Clock::now() - silent < 6s);
+}
+
+// ---- notices ----
+
+TEST_CASE("a notice is told until it is taken, also by the next process") {
+  Relayed r;
+  r.relay.Start();
+  r.world.notice_status = 503;
+  {
+    Client client(r.relay);
+    r.Deliver(client, "id-1", "hello", 300);
+  }
+  r.world.Until([&] { return r.world.notices_refused >= 3; });
+  r.relay.Signal(SIGKILL);
+  CHECK(r.relay.WaitForEnd() == -SIGKILL);
+  r.world.notice_status = 204;
+  r.relay.Start();
+  CHECK(r.world.NoticeOf("id-1").at("status") == "undeliverable");
+  Client client(r.relay);
+  r.UntilOver(client, "notices_taken", 1);
+  CHECK(client.Counters()["held"] == 0);
+}
+
+// ---- restarts ----
+
+TEST_CASE("what was taken on outlasts SIGKILL, with its room and its window") {
+  Relayed r(2);
+  r.relay.Start();
+  std::string host;
+  {
+    Client client(r.relay);
+    const HttpRequest call = r.Deliver(client, "id-1", "the body");
+    host = r.world.HostOf(call);
+    r.world.Answer(r.Deliver(client, "id-2"), "200 OK");
+    r.UntilOver(client, "delivered", 1);
+  }
+  r.relay.Signal(SIGKILL);
+  CHECK(r.relay.WaitForEnd() == -SIGKILL);
+  r.relay.Start();
+  const HttpRequest again = r.world.NextCall();
+  CHECK(again.id() == "id-1");
+  CHECK(again.body == "the body");
+  CHECK(again.headers.at("idempotency-key") == "key1");
+  CHECK(r.world.HostOf(again) == host);
+  r.world.Answer(again, "200 OK");
+  Client client(r.relay);
+  r.UntilOver(client, "delivered", 1);
+  CHECK_FALSE(r.world.CallWithin(50ms));
+}
+
+TEST_CASE("a time that ran out while the relay was down ends with a notice") {
+  Relayed r;
+  r.relay.Start();
+  {
+    Client client(r.relay);
+    r.Deliver(client, "id-1", "hello", 200);
+    r.relay.Signal(SIGKILL);
+  }
+  CHECK(r.relay.WaitForEnd() == -SIGKILL);
+  CHECK_FALSE(r.world.CallWithin(250ms));
+  r.relay.Start();
+  CHECK(r.world.NoticeOf("id-1").at("status") == "undeliverable");
+}
+
+// Guards against a process killed in the middle of a write.
+TEST_CASE("a torn tail of the journal is cut and what stands before it is kept") {
+  Relayed r;
+  r.relay.Start();
+  {
+    Client client(r.relay);
+    r.Deliver(client, "id-1");
+  }
+  r.relay.Signal(SIGKILL);
+  r.relay.WaitForEnd();
+  std::ofstream(r.relay.state() + "/journal", std::ios::app) << std::string("\x40\0\0\0torn", 8);
+  std::ofstream(r.relay.state() + "/journal.next") << "half a rewrite";
+  r.relay.Start();
+  CHECK(r.world.NextCall().id() == "id-1");
+  Client client(r.relay);
+  CHECK(client.Counters()["journal_cut_bytes"] == 8);
+  CHECK(client.Counters()["recovered"] == 1);
+}
+
+TEST_CASE("SIGTERM: clients that still come are served, what is out is finished, the end is clean") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  r.relay.Signal(SIGTERM);
+  Client late(r.relay);
+  const HttpRequest second = r.Deliver(late, "id-2");
+  r.world.Answer(call, "200 OK");
+  r.world.Answer(second, "200 OK");
+  const auto asked = Clock::now();
+  CHECK(r.relay.WaitForEnd() == 0);
+  CHECK(Clock::now() - asked < 3s);
+  CHECK(r.relay.log().find("draining") != std::string::npos);
+  CHECK(r.relay.log().find("delivered=2") != std::string::npos);
+}
+
+TEST_CASE("SIGTERM with a leg that gets no answer: the end comes in time, the next process goes on") {
+  Relayed r;
+  r.relay.Start();
+  {
+    Client client(r.relay);
+    r.Deliver(client, "id-1", "hello", 16000);
+  }
+  const auto asked = Clock::now();
+  r.relay.Signal(SIGTERM);
+  CHECK(r.relay.WaitForEnd() == 0);
+  CHECK(Clock::now() - asked < 3700ms);
+  r.relay.Start();
+  CHECK(r.world.NextCall().id() == "id-1");
+}
+
+// ---- configuration ----
+
+TEST_CASE("a configuration that can't work names the key at fault") {
+  World world;
+  const auto message = [&](const std::function<void(nlohmann::json&)>& spoil) {
+    RelayProcess relay(world);
+    spoil(relay.config);
+    int code = 0;
+    const std::string text = relay.RunToEnd(&code);
+    CHECK(code == 1);
+    return text;
+  };
+  using Catch::Contains;
+  CHECK_THAT(message([](auto& c) { c["listen"] = "nowhere"; }), Contains("listen:"));
+  CHECK_THAT(message([](auto& c) { c["discovery"] = 5; }), Contains("discovery:"));
+  CHECK_THAT(message([](auto& c) { c["seed"] = "xyz"; }), Contains("seed:"));
+  CHECK_THAT(message([](auto& c) { c["limits"]["sockets"] = 3; }), Contains("limits.sockets:"));
+  CHECK_THAT(message([](auto& c) { c["limits"]["disk_mb"] = "big"; }), Contains("limits.disk_mb:"));
+  CHECK_THAT(message([](auto& c) { c.erase("settings"); }), Contains("settings:"));
+  CHECK_THAT(message([](auto& c) { c["settings"].erase("services"); }), Contains("services"));
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
--- /dev/null
+++ b/tests/relay/rig.cpp
@@ -0,0 +1,368 @@
+#include "rig.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace oxbowspread::testing {
+namespace {
+
+int Left(Clock::time_point until) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Clock::now()).count();
+  return static_cast<int>(std::max<long>(0, left));
+}
+
+sockaddr_in Loopback(int port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(static_cast<std::uint16_t>(port));
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return a;
+}
+
+const char kSettings[] = R"({"balancers":1,"rank":0,"discovery":"ask","tick-s":0.005,"weights":"rough",
+  "zones":["north-room","east-room"],"models":["partner"],
+  "services":[{"name":"outbound","semantics":"deduplicated","key-scope":"zone","goal-time-s":3,
+    "deadline-s":16,"repeat-window-s":10,"worth":1,"late-value":0.5}],
+  "family-info":{"calls-out":19,"kind-apart":[true],"bundle-max":[1],"decay":"by_half","carriage":[0,0]},
+  "limits":{"cancel":true,"send-cap":12,"max-open":100,"retry-after":true,"max-retry-after-s":2,
+    "connect-timeout-s":1.5,"keepalive-s":15},
+  "invariants":{"ask-within-s":10,"cold-from":0.23,"cold-s":13,"drain-grace-s":0.25,"fall-multiple":2,
+    "grace-to-answer-s":0.02,"tip-after-s":3}})";
+
+}  // namespace
+
+// ---- sockets ----
+
+Socket& Socket::operator=(Socket&& other) noexcept {
+  Close();
+  fd_ = std::exchange(other.fd_, -1);
+  return *this;
+}
+
+Socket Socket::Listen(int backlog) {
+  Socket s(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_in a = Loopback(0);
+  REQUIRE(bind(s.fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  REQUIRE(listen(s.fd_, backlog) == 0);
+  return s;
+}
+
+Socket Socket::Connect(int port) {
+  Socket s(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_in a = Loopback(port);
+  if (connect(s.fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0) s.Close();
+  return s;
+}
+
+int Socket::port() const {
+  sockaddr_in a{};
+  socklen_t size = sizeof a;
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size);
+  return ntohs(a.sin_port);
+}
+
+void Socket::Close() {
+  if (fd_ >= 0) close(std::exchange(fd_, -1));
+}
+
+void Socket::Reset() {
+  const linger hard{1, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  Close();
+}
+
+void Socket::Send(const std::string& bytes) const {
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const ssize_t count = send(fd_, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    if (count <= 0) return;
+    at += static_cast<std::size_t>(count);
+  }
+}
+
+std::string Socket::Receive(std::chrono::milliseconds limit, bool* ended) const {
+  pollfd p{fd_, POLLIN, 0};
+  if (poll(&p, 1, static_cast<int>(limit.count())) <= 0) return {};
+  char bytes[65536];
+  const ssize_t count = recv(fd_, bytes, sizeof bytes, 0);
+  if (count <= 0 && ended != nullptr) *ended = true;
+  return std::string(bytes, static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+}
+
+// ---- the world ----
+
+World::World() : discovery_(Socket::Listen()) {}
+
+void World::AddHost(const std::string& id, int cell, const std::string& zone) {
+  Socket& listener = listeners_[id] = Socket::Listen();
+  hosts_[id] = {{"id", id},         {"addr", "127.0.0.1:" + std::to_string(listener.port())},
+                {"zone", zone},     {"kind", "partner"},
+                {"cell", cell},     {"state", "Ready"},
+                {"weight", 50},     {"started_ms", 0},
+                {"unheard_of", {1}}};
+}
+
+void World::SetState(const std::string& id, const std::string& state) {
+  hosts_[id]["state"] = state;
+  const nlohmann::json change = {{"version", ++version_}, {"full", false}, {"servers", {hosts_[id]}}};
+  for (Peer& peer : peers_) {
+    if (peer.watch) Chunk(peer.socket, change.dump() + "\n");
+  }
+}
+
+void World::SetPort(const std::string& id, int port) {
+  hosts_[id]["addr"] = "127.0.0.1:" + std::to_string(port);
+}
+
+void World::Stop(const std::string& id) { listeners_.erase(id); }
+
+nlohmann::json World::List() const {
+  nlohmann::json servers = nlohmann::json::array();
+  for (const auto& [id, host] : hosts_) servers.push_back(host);
+  return {{"version", version_}, {"full", true}, {"servers", servers}};
+}
+
+void World::Chunk(const Socket& socket, const std::string& text) {
+  std::ostringstream out;
+  out << std::hex << text.size() << "\r\n" << text << "\r\n";
+  socket.Send(out.str());
+}
+
+void World::Serve(std::chrono::milliseconds limit) {
+  if (heartbeats && Clock::now() - heartbeat_ > 2s) {
+    heartbeat_ = Clock::now();
+    for (Peer& peer : peers_) {
+      if (peer.watch) Chunk(peer.socket, "\n");
+    }
+  }
+  std::vector<pollfd> polls{{discovery_.fd(), POLLIN, 0}};
+  std::vector<std::string> names;
+  for (const auto& [id, listener] : listeners_) {
+    names.push_back(id);
+    polls.push_back({listener.fd(), POLLIN, 0});
+  }
+  const std::size_t first_peer = polls.size();
+  for (const Peer& peer : peers_) polls.push_back({peer.socket.fd(), POLLIN, 0});
+  poll(polls.data(), polls.size(),
+       static_cast<int>(std::min<std::chrono::milliseconds>(limit, 100ms).count()));
+  std::size_t at = first_peer;
+  for (auto it = peers_.begin(); it != peers_.end(); ++at) {
+    Peer& peer = *it++;
+    if (polls[at].revents == 0) continue;
+    bool ended = false;
+    peer.bytes += peer.socket.Receive(0ms, &ended);
+    while (TakeRequest(peer)) {
+    }
+    if (ended) peer.socket.Close();
+  }
+  for (std::size_t i = 0; i < first_peer; ++i) {
+    if ((polls[i].revents & POLLIN) == 0) continue;
+    peers_.push_back({Socket(accept(polls[i].fd, nullptr, nullptr)), i == 0 ? "" : names[i - 1], "", false});
+    host_of_[&peers_.back().socket] = peers_.back().host;
+    accepted_ += i > 0;
+  }
+}
+
+bool World::TakeRequest(Peer& peer) {
+  const std::size_t head_end = peer.bytes.find("\r\n\r\n");
+  if (head_end == peer.bytes.npos) return false;
+  HttpRequest request;
+  request.from = &peer.socket;
+  std::istringstream head(peer.bytes.substr(0, head_end));
+  std::getline(head, request.line);
+  request.line.pop_back();
+  for (std::string line; std::getline(head, line);) {
+    if (!line.empty() && line.back() == '\r') line.pop_back();
+    const std::size_t colon = line.find(": ");
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+    request.headers[name] = line.substr(colon + 2);
+  }
+  const auto length = request.headers.find("content-length");
+  const std::size_t body = length == request.headers.end() ? 0 : std::stoul(length->second);
+  if (peer.bytes.size() < head_end + 4 + body) return false;
+  request.body = peer.bytes.substr(head_end + 4, body);
+  peer.bytes.erase(0, head_end + 4 + body);
+  if (peer.host.empty()) {
+    OnDiscovery(peer, request);
+  } else {
+    calls_.push_back(std::move(request));
+  }
+  return true;
+}
+
+void World::OnDiscovery(Peer& peer, const HttpRequest& request) {
+  if (request.line.find("/v1/outcomes") != request.line.npos) {
+    peer.socket.Send("HTTP/1.1 " + std::to_string(notice_status) + " X\r\nContent-Length: 0\r\n\r\n");
+    notices_refused += notice_status != 204;
+    std::istringstream lines(request.body);
+    for (std::string line; notice_status == 204 && std::getline(lines, line);) {
+      const auto notice = nlohmann::json::parse(line);
+      notices[notice.at("id")] = notice;
+    }
+    return;
+  }
+  watches += 1;
+  peer.watch = true;
+  peer.socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  Chunk(peer.socket, List().dump() + "\n");
+}
+
+HttpRequest World::NextCall(std::chrono::milliseconds limit) {
+  Until([this] { return !calls_.empty(); }, limit);
+  HttpRequest call = calls_.front();
+  calls_.erase(calls_.begin());
+  return call;
+}
+
+bool World::CallWithin(std::chrono::milliseconds limit) {
+  const auto until = Clock::now() + limit;
+  while (calls_.empty() && Left(until) > 0) Serve(std::chrono::milliseconds(Left(until)));
+  return !calls_.empty();
+}
+
+void World::Answer(const HttpRequest& call, const std::string& status, const std::string& headers) {
+  call.from->Send("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 2\r\n\r\nok");
+}
+
+void World::Until(const std::function<bool()>& holds, std::chrono::milliseconds limit) {
+  const auto until = Clock::now() + limit;
+  while (!holds()) {
+    if (Left(until) == 0) FAIL("what was waited for did not come");
+    Serve(std::chrono::milliseconds(Left(until)));
+  }
+}
+
+nlohmann::json World::NoticeOf(const std::string& id) {
+  Until([&] { return notices.count(id) > 0; });
+  return notices.at(id);
+}
+
+// ---- the process ----
+
+RelayProcess::RelayProcess(World& world) : world_(world) {
+  char name[] = "/tmp/oxbowspread-XXXXXX";
+  folder_ = mkdtemp(name);
+  state_ = folder_ + "/state";
+  std::filesystem::create_directory(state_);
+  const Socket probe = Socket::Listen();
+  port_ = probe.port();
+  config = {{"name", "n1"},
+            {"listen", "127.0.0.1:" + std::to_string(port_)},
+            {"discovery", "127.0.0.1:" + std::to_string(world.discovery_port())},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 3}}},
+            {"settings", nlohmann::json::parse(kSettings)}};
+}
+
+RelayProcess::~RelayProcess() {
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  std::filesystem::remove_all(folder_);
+}
+
+void RelayProcess::Spawn() {
+  std::ofstream(folder_ + "/config.json") << config.dump();
+  pid_ = fork();
+  if (pid_ != 0) return;
+  const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2(log, 1);
+  dup2(log, 2);
+  setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+  setenv("ROUTER_STATE", state_.c_str(), 1);
+  execl(OXBOWSPREAD, OXBOWSPREAD, nullptr);
+  _exit(127);
+}
+
+void RelayProcess::Start() {
+  config["known"] = world_.List();
+  Spawn();
+  const auto until = Clock::now() + 10s;
+  // Refused until the relay listens: a connection is the event to wait for.
+  while (Left(until) > 0) {
+    Client client(*this);
+    if (client.socket().fd() >= 0 && client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG") return;
+    REQUIRE(waitpid(pid_, nullptr, WNOHANG) == 0);
+  }
+  FAIL("the relay does not answer: " + log());
+}
+
+void RelayProcess::Signal(int number) const { kill(pid_, number); }
+
+int RelayProcess::WaitForEnd() {
+  int status = 0;
+  world_.Until([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+std::string RelayProcess::RunToEnd(int* code) {
+  Spawn();
+  *code = WaitForEnd();
+  return log();
+}
+
+std::string RelayProcess::log() const {
+  std::ifstream file(folder_ + "/log");
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// ---- clients ----
+
+void Client::Put(const std::string& id, const std::string& body, int ms, const std::string& values) const {
+  const std::string list = "c=outbound,d=" + std::to_string(ms) + values;
+  std::string command = "*5\r\n";
+  for (const std::string& part : {std::string("MSG.PUT"), std::string("0000000000000000"), id, list, body}) {
+    command += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
+  }
+  socket_.Send(command);
+}
+
+std::string Client::Line() {
+  const auto until = Clock::now() + 5s;
+  bool ended = false;
+  std::size_t end = 0;
+  while ((end = bytes_.find("\r\n")) == bytes_.npos) {
+    if (ended || Left(until) == 0) return {};
+    bytes_ += socket_.Receive(std::chrono::milliseconds(Left(until)), &ended);
+  }
+  const std::string line = bytes_.substr(0, end);
+  bytes_.erase(0, end + 2);
+  return line;
+}
+
+std::string Client::Ask(const std::string& command) {
+  socket_.Send(command);
+  return Line();
+}
+
+std::map<std::string, long> Client::Counters() {
+  const std::string head = Ask("*1\r\n$4\r\nINFO\r\n");
+  REQUIRE(head.substr(0, 1) == "$");
+  const std::size_t size = std::stoul(head.substr(1)) + 2;
+  while (bytes_.size() < size) bytes_ += socket_.Receive(5s);
+  std::istringstream text(bytes_.substr(0, size - 2));
+  bytes_.erase(0, size);
+  std::map<std::string, long> counters;
+  for (std::string line; std::getline(text, line);) {
+    const std::size_t equals = line.find('=');
+    counters[line.substr(0, equals)] = std::strtol(line.c_str() + equals + 1, nullptr, 10);
+  }
+  return counters;
+}
+
+}  // namespace oxbowspread::testing
--- /dev/null
+++ b/tests/relay/rig.hpp
@@ -0,0 +1,153 @@
+// The relay as its surroundings see it: a process, with this test as its client, issuer hosts and discovery
+// on ephemeral loopback ports. One thread, no sleeps: everything waits for an event, up to a limit.
+#pragma once
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace oxbowspread::testing {
+
+using Clock = std::chrono::steady_clock;
+using namespace std::chrono_literals;
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int fd) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept;
+  ~Socket() { Close(); }
+
+  static Socket Listen(int backlog = 64);
+  static Socket Connect(int port);
+  int fd() const { return fd_; }
+  int port() const;
+  void Close();
+  void Reset();  // closes with a reset
+  void Send(const std::string& bytes) const;
+  // What came within the limit; empty when nothing did, and `ended` when the other side closed.
+  std::string Receive(std::chrono::milliseconds limit, bool* ended = nullptr) const;
+
+ private:
+  int fd_ = -1;
+};
+
+struct HttpRequest {
+  std::string line;
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+  Socket* from = nullptr;
+
+  std::string id() const { return headers.count("x-request-id") ? headers.at("x-request-id") : ""; }
+};
+
+// All that listens for the relay: issuer hosts by id, and discovery. Calls wait until the test answers them.
+class World {
+ public:
+  World();
+
+  // Listed as Ready unless told otherwise; every host belongs to `cell`.
+  void AddHost(const std::string& id, int cell, const std::string& zone = "north-room");
+  void SetState(const std::string& id, const std::string& state);  // tells the watch too
+  void SetPort(const std::string& id, int port);                   // listed there instead
+  void Stop(const std::string& id);                                // refuses connections from now on
+  nlohmann::json List() const;
+  int discovery_port() const { return discovery_.port(); }
+
+  // The next call at any host; fails the test if none comes in time.
+  HttpRequest NextCall(std::chrono::milliseconds limit = 5s);
+  // Whether a call came within the limit; it is left for NextCall.
+  bool CallWithin(std::chrono::milliseconds limit);
+  void Answer(const HttpRequest& call, const std::string& status, const std::string& headers = "");
+  std::string HostOf(const HttpRequest& call) const { return host_of_.at(call.from); }
+  int connections_to_hosts() const { return accepted_; }
+
+  // Serves until it holds, or fails the test.
+  void Until(const std::function<bool()>& holds, std::chrono::milliseconds limit = 8s);
+  nlohmann::json NoticeOf(const std::string& id);
+
+  std::map<std::string, nlohmann::json> notices;  // by id
+  int notice_status = 204;
+  int notices_refused = 0;
+  int watches = 0;
+  bool heartbeats = true;
+
+ private:
+  struct Peer {
+    Socket socket;
+    std::string host;  // empty: discovery
+    std::string bytes;
+    bool watch = false;
+  };
+
+  void Serve(std::chrono::milliseconds limit);
+  bool TakeRequest(Peer& peer);
+  void OnDiscovery(Peer& peer, const HttpRequest& request);
+  static void Chunk(const Socket& socket, const std::string& text);
+
+  Socket discovery_;
+  std::map<std::string, Socket> listeners_;
+  std::list<Peer> peers_;
+  std::list<Socket> ended_;  // kept, so that a call's `from` stays good
+  std::map<const Socket*, std::string> host_of_;
+  std::vector<HttpRequest> calls_;
+  std::map<std::string, nlohmann::json> hosts_;
+  Clock::time_point heartbeat_ = Clock::now();
+  int version_ = 1;
+  int accepted_ = 0;
+};
+
+// One relay process with its lasting folder.
+class RelayProcess {
+ public:
+  explicit RelayProcess(World& world);
+  ~RelayProcess();
+  RelayProcess(const RelayProcess&) = delete;
+  RelayProcess& operator=(const RelayProcess&) = delete;
+
+  nlohmann::json config;  // to be changed before Start
+
+  void Start();  // until it answers PING
+  void Signal(int number) const;
+  int WaitForEnd();                 // its exit code, or minus the signal
+  std::string RunToEnd(int* code);  // one that can't start: what it wrote to standard error
+  int port() const { return port_; }
+  const std::string& state() const { return state_; }
+  std::string log() const;
+
+ private:
+  void Spawn();
+
+  World& world_;
+  std::string folder_, state_;
+  int port_ = 0;
+  pid_t pid_ = -1;
+};
+
+class Client {
+ public:
+  explicit Client(const RelayProcess& relay) : socket_(Socket::Connect(relay.port())) {}
+  // Sends MSG.PUT; `values` is added to class, time and destination.
+  void Put(const std::string& id, const std::string& body = "hello", int ms = 8000,
+           const std::string& values = ",k=key1,dest=7") const;
+  std::string Line();  // the next line of an answer; empty if the relay closed instead
+  std::string Ask(const std::string& command);
+  // The counters as INFO tells them.
+  std::map<std::string, long> Counters();
+  Socket& socket() { return socket_; }
+
+ private:
+  std::string Bytes(std::size_t count);
+
+  Socket socket_;
+  std::string bytes_;
+};
+
+}  // namespace oxbowspread::testing
