--- a/src/main.cpp
+++ b/src/main.cpp
@@ -122,6 +122,7 @@
   // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed.
   void Look() {
     const net::Time since = net::Loop::Now() - asked_at_;
+    drain_ms_ = since / 1ms;
     if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
     if (since >= kSettleAt) phases_.Enter(Phase::kSettling);
     const bool empty = relay_.done() && relay_.out() == 0 && acquirers_->clients() == 0;
@@ -133,7 +134,8 @@
   std::string Text() const {
     return "phase=" + std::string(relay::NameOf(phases_.now())) + "\nheld=" + std::to_string(relay_.held()) +
            "\nout=" + std::to_string(relay_.out()) +
-           "\njournal_bytes=" + std::to_string(journal_.file_bytes()) + "\n" + counters_.Text();
+           "\njournal_bytes=" + std::to_string(journal_.file_bytes()) +
+           "\ndrain_ms=" + std::to_string(drain_ms_) + "\n" + counters_.Text();
   }
   void Report() const { std::cout << Text() << std::flush; }
 
@@ -152,6 +154,7 @@
   net::Signal end_, interrupt_, report_;
   net::Timer step_;
   net::Time asked_at_{0};
+  std::int64_t drain_ms_ = 0;
   bool door_closed_ = false;
 };
 
