--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -14,6 +16,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t kLeastSockets = 48;
+
 std::string Text(const Json& object, const char* key) {
   const auto it = object.find(key);
   if (it == object.end()) return {};
@@ -59,6 +63,18 @@
   if (text != nullptr && *text != '\0') *value = text;
 }
 
+// The system may allow fewer descriptors than the deployment: the shares must be of what is really there.
+void FitToSystem(Config* c) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= c->sockets) return;
+  limit.rlim_cur = std::min<rlim_t>(c->sockets, limit.rlim_max);
+  if (setrlimit(RLIMIT_NOFILE, &limit) != 0) getrlimit(RLIMIT_NOFILE, &limit);
+  c->sockets = std::min<std::size_t>(c->sockets, limit.rlim_cur);
+  if (c->sockets < kLeastSockets) {
+    throw Error("limits.sockets", "the system allows only " + std::to_string(c->sockets) + " descriptors");
+  }
+}
+
 void Check(const Config& c) {
   CheckAddress("listen", c.listen);
   CheckAddress("discovery", c.discovery);
@@ -79,7 +95,7 @@
   const Json limits = root.value("limits", Json::object());
   if (!limits.is_object()) throw Error("limits", "must be an object");
   Limit(limits, "memory_mb", 16, 1, &c.memory_mb);
-  Limit(limits, "sockets", 32, 1, &c.sockets);
+  Limit(limits, "sockets", kLeastSockets, 1, &c.sockets);
   Limit(limits, "disk_mb", 0.25, 1e6, &c.disk_bytes);
   // On scored days no more than 1,024 are given, whatever the file says.
   c.sockets = std::min<std::size_t>(c.sockets, 1024);
@@ -110,6 +126,7 @@
   Override("ROUTER_DISCOVERY", &c.discovery);
   Override("ROUTER_STATE", &c.state);
   Check(c);
+  FitToSystem(&c);
   return c;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -30,9 +30,11 @@
   wheathub::Settings settings;
   std::vector<std::string> zones;  // their names, in the settings' order
 
-  // Shares of the descriptors: clients, connections to issuer hosts; the rest is a reserve.
-  std::size_t most_clients() const { return sockets / 2; }
-  std::size_t most_lines() const { return sockets / 4; }
+  // Shares of the descriptors: clients, lines to issuer hosts; the rest is for the journal, the loop,
+  // discovery and notices, and a reserve.
+  static constexpr std::size_t kOwnDescriptors = 16;
+  std::size_t most_clients() const { return (sockets - kOwnDescriptors) / 2; }
+  std::size_t most_lines() const { return (sockets - kOwnDescriptors) / 3; }
 };
 
 // From the file that $ROUTER_CONFIG names; the other $ROUTER_ variables fill in and win. Throws Error.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -77,13 +78,33 @@
   CHECK(r.world.connections_to_hosts() == 2);
 }
 
-TEST_CASE("a body of 64 KiB reaches a host that reads slowly whole") {
+TEST_CASE("a body of 64 KiB reaches a host that reads slowly whole, after short writes") {
   Relayed r;
+  r.world.AddHost("tight", 8, "north-room", 4096);
   r.relay.Start();
   Client client(r.relay);
-  const std::string body(64 * 1024, 'x');
-  const HttpRequest call = r.Deliver(client, "big", body);
+  std::string body;
+  for (int i = 0; body.size() < 64 * 1024; ++i) body += static_cast<char>('a' + i % 23);
+  client.Put("big", body, 8000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  CHECK(client.Counters()["legs"] == 1);  // nobody reads there yet, and the relay goes on serving
+  const HttpRequest call = r.world.NextCall();
   CHECK(call.body == body);
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+}
+
+// Guards against a reset that may have run: the host closes at its keepalive, the relay well before.
+TEST_CASE("an idle connection is closed by the relay before its keepalive is over") {
+  Relayed r;
+  r.relay.config["settings"]["limits"]["keepalive-s"] = 3;
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  const auto answered = Clock::now();
+  r.world.Answer(call, "200 OK");
+  r.world.Until([&] { return call.from->fd() < 0; });
+  CHECK(Clock::now() - answered < 3s);
 }
 
 // ---- what answers mean ----
@@ -225,6 +246,31 @@
   CHECK(taken + refused == 30);
 }
 
+// Guards against half a record in the journal, and against an end of the program by a failed write.
+TEST_CASE("a disk that takes no more refuses, loses nothing and crashes nothing") {
+  Relayed r;
+  r.relay.in_child = [] {
+    signal(SIGXFSZ, SIG_IGN);
+    const rlimit full{100'000, 100'000};
+    setrlimit(RLIMIT_FSIZE, &full);
+  };
+  r.relay.Start();
+  Client client(r.relay);
+  const std::string body(60 * 1024, 'x');
+  const HttpRequest call = r.Deliver(client, "id-1", body);
+  client.Put("id-2", body);
+  CHECK(client.Line().substr(0, 6) == "-BUSY ");
+  CHECK(client.Counters()["busy_journal"] == 1);
+  CHECK_FALSE(r.world.CallWithin(50ms));
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  r.Deliver(client, "id-3", body);
+  r.relay.Signal(SIGKILL);
+  r.relay.WaitForEnd();
+  r.relay.Start();
+  CHECK(r.world.NextCall().id() == "id-3");
+}
+
 TEST_CASE("bad input gets an error and a close, and harms nobody else") {
   Relayed r;
   r.relay.Start();
@@ -282,7 +328,11 @@
 // Guards against a relay without descriptors left for its legs.
 TEST_CASE("more clients than there is room for cost nobody his legs") {
   Relayed r;
-  r.relay.config["limits"]["sockets"] = 40;
+  // The deployment's own figure is larger than what the system gives.
+  r.relay.in_child = [] {
+    const rlimit few{64, 64};
+    setrlimit(RLIMIT_NOFILE, &few);
+  };
   r.relay.Start();
   std::vector<Client> clients;
   for (int i = 0; i < 60; ++i) {
@@ -310,15 +360,28 @@
   }
 }
 
+// A host with room for one connection that nobody has accepted: a stranger in it keeps a leg connecting.
+struct Narrow {
+  Socket listener = Socket::Listen(0);
+  Socket stranger;
+
+  explicit Narrow(World& world) {
+    world.AddHost("narrow", 8);
+    world.SetPort("narrow", listener.port());
+  }
+  void Fill() { stranger = Socket::Connect(listener.port()); }
+  // Lets the stranger in, and then the leg's connection, which its system tries again.
+  Socket AcceptLeg() {
+    const Socket first = listener.Accept(5s);
+    return listener.Accept(5s);
+  }
+};
+
 // A drain is counted from a send's first byte, which a slow connection writes long after the decision.
 TEST_CASE("a leg that still connects when its host drains is not written") {
   Relayed r;
-  // A host with its queue full of strangers: the leg's own connection comes up only once there is room.
-  Socket full = Socket::Listen(0);
-  std::vector<Socket> strangers;
-  strangers.push_back(Socket::Connect(full.port()));
-  r.world.AddHost("slow", 8);
-  r.world.SetPort("slow", full.port());
+  Narrow narrow(r.world);
+  narrow.Fill();
   r.relay.Start();
   Client client(r.relay);
   r.world.Until([&] { return r.world.watches == 1; });
@@ -326,16 +389,38 @@
   REQUIRE(client.Line() == "+OK");
   r.UntilOver(client, "legs", 1);
   const long changes = client.Counters()["list_changes"];
-  r.world.SetState("slow", "Terminating");
+  r.world.SetState("narrow", "Terminating");
   r.UntilOver(client, "list_changes", changes + 1);
   r.world.CallWithin(150ms);  // past the slack that a drain allows
-  const Socket stranger = full.Accept(5s);
-  const Socket late = full.Accept(5s);
+  const Socket late = narrow.AcceptLeg();
   REQUIRE(late.fd() >= 0);
   CHECK(late.Receive(1500ms).empty());
   CHECK(client.Counters()["legs_held_back"] == 1);
 }
 
+// A wait runs for all messages, also for one whose leg was decided before and connects after.
+TEST_CASE("a leg that still connects when its host tells a wait is not written") {
+  Relayed r;
+  Narrow narrow(r.world);
+  r.relay.Start();
+  Client client(r.relay);
+  client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  const Socket first = narrow.listener.Accept(5s);
+  REQUIRE(first.Receive(5s).find("id-1") != std::string::npos);
+  narrow.Fill();
+  client.Put("id-2", "hello", 8000, ",k=key2,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  r.UntilOver(client, "legs", 2);
+  first.Send("HTTP/1.1 429 Full\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+  r.UntilOver(client, "refused", 1);
+  r.world.CallWithin(100ms);  // past the slack that a wait allows
+  const Socket late = narrow.AcceptLeg();
+  REQUIRE(late.fd() >= 0);
+  CHECK(late.Receive(500ms).empty());
+  CHECK(client.Counters()["legs_held_back"] == 1);
+}
+
 // One entry that can't be read would otherwise hide the drain of another.
 TEST_CASE("entries of the list that make no sense are passed over") {
   Relayed r(2);
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -83,6 +83,10 @@
   if (fd_ >= 0) close(std::exchange(fd_, -1));
 }
 
+void Socket::Narrow(int receive_buffer) const {
+  setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+}
+
 void Socket::Reset() {
   const linger hard{1, 0};
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -111,8 +115,9 @@
 
 World::World() : discovery_(Socket::Listen()) {}
 
-void World::AddHost(const std::string& id, int cell, const std::string& zone) {
+void World::AddHost(const std::string& id, int cell, const std::string& zone, int receive_buffer) {
   Socket& listener = listeners_[id] = Socket::Listen();
+  if (receive_buffer > 0) listener.Narrow(receive_buffer);
   hosts_[id] = {{"id", id},         {"addr", "127.0.0.1:" + std::to_string(listener.port())},
                 {"zone", zone},     {"kind", "partner"},
                 {"cell", cell},     {"state", "Ready"},
@@ -303,6 +308,7 @@
   }
   dup2(ends[1], 1);
   dup2(ends[1], 2);
+  if (in_child) in_child();
   setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
   setenv("ROUTER_STATE", state_.c_str(), 1);
   execl(OXBOWSPREAD, OXBOWSPREAD, nullptr);
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -31,7 +31,8 @@
   int fd() const { return fd_; }
   int port() const;
   void Close();
-  void Reset();  // closes with a reset
+  void Narrow(int receive_buffer) const;  // of what it accepts
+  void Reset();                           // closes with a reset
   void Send(const std::string& bytes) const;
   // What came within the limit; empty when nothing did, and `ended` when the other side closed.
   std::string Receive(std::chrono::milliseconds limit, bool* ended = nullptr) const;
@@ -55,7 +56,8 @@
   World();
 
   // Listed as Ready unless told otherwise; every host belongs to `cell`.
-  void AddHost(const std::string& id, int cell, const std::string& zone = "north-room");
+  void AddHost(const std::string& id, int cell, const std::string& zone = "north-room",
+               int receive_buffer = 0);
   void SetState(const std::string& id, const std::string& state);  // tells the watch too
   void Tell(const nlohmann::json& change);                         // to the watch, as it is
   void SetPort(const std::string& id, int port);                   // listed there instead
@@ -114,7 +116,8 @@
   RelayProcess(const RelayProcess&) = delete;
   RelayProcess& operator=(const RelayProcess&) = delete;
 
-  nlohmann::json config;  // to be changed before Start
+  nlohmann::json config;           // to be changed before Start
+  std::function<void()> in_child;  // before the program starts: limits of the system
 
   void Start();  // until it answers PING
   void Signal(int number) const;
