--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -530,6 +530,40 @@
   CHECK(client.Counters()["recovered"] == 1);
 }
 
+TEST_CASE("a journal much smaller than what passes through it is rewritten on the way") {
+  Relayed r;
+  r.relay.config["limits"]["disk_mb"] = 0.5;
+  r.relay.Start();
+  {
+    Client client(r.relay);
+    const std::string body(60 * 1024, 'x');
+    const HttpRequest kept = r.Deliver(client, "kept", body, 16000);
+    for (int i = 1; i <= 25; ++i) {
+      r.world.Answer(r.Deliver(client, "id-" + std::to_string(i), body), "200 OK");
+      r.UntilOver(client, "delivered", i);
+      REQUIRE(client.Counters()["journal_bytes"] <= 250'000);
+    }
+  }
+  r.relay.Signal(SIGKILL);
+  r.relay.WaitForEnd();
+  r.relay.Start();
+  CHECK(r.world.NextCall().id() == "kept");
+  Client client(r.relay);
+  CHECK(client.Counters()["recovered"] == 1);
+}
+
+TEST_CASE("SIGUSR1 prints the counters and ends nothing") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Answer(r.Deliver(client, "id-1"), "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  r.relay.Signal(SIGUSR1);
+  r.world.Until([&] { return r.relay.log().find("phase=serving\n") != std::string::npos; });
+  r.world.Until([&] { return r.relay.log().find("\ndelivered=1\n") != std::string::npos; });
+  CHECK(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+}
+
 TEST_CASE("SIGTERM: clients that still come are served, what is out is finished, the end is clean") {
   Relayed r;
   r.relay.Start();
