Reload the configuration on SIGHUP and move watch and notices to its discovery

At fault: main.cpp had no watcher for SIGHUP; config::FromEnvironment let ROUTER_DISCOVERY win, which is as old as the process; Discovery and Poster could not change their address.

--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -56,6 +56,7 @@
             relay::Counters& counters, Report report);
   // No new clients; those that are here leave when they are answered.
   void CloseDoor();
+  void SetMost(std::size_t most) { most_ = most; }
   std::size_t clients() const { return clients_.size(); }
 
  private:
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -75,6 +75,16 @@
   }
 }
 
+std::string FileText() {
+  const char* path = std::getenv("ROUTER_CONFIG");
+  if (path == nullptr || *path == '\0') throw Error("ROUTER_CONFIG", "is not set");
+  std::ifstream file(path);
+  if (!file) throw Error("ROUTER_CONFIG", std::string("can't read ") + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 void Check(const Config& c) {
   CheckAddress("listen", c.listen);
   CheckAddress("discovery", c.discovery);
@@ -104,7 +114,8 @@
   if (settings == root.end() || !settings->is_object()) throw Error("settings", "must be an object");
   std::vector<std::string> report_fields;
   try {
-    c.settings = wheathub::wire::ParseSettings(settings->dump(), &report_fields);
+    c.settings_text = settings->dump();
+    c.settings = wheathub::wire::ParseSettings(c.settings_text, &report_fields);
     c.zones = settings->value("zones", std::vector<std::string>());
   } catch (const std::exception& e) {
     throw Error("settings", e.what());
@@ -114,13 +125,7 @@
 }
 
 Config FromEnvironment() {
-  const char* path = std::getenv("ROUTER_CONFIG");
-  if (path == nullptr || *path == '\0') throw Error("ROUTER_CONFIG", "is not set");
-  std::ifstream file(path);
-  if (!file) throw Error("ROUTER_CONFIG", std::string("can't read ") + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  Config c = FromText(text.str());
+  Config c = FromText(FileText());
   Override("ROUTER_NAME", &c.name);
   Override("ROUTER_LISTEN", &c.listen);
   Override("ROUTER_DISCOVERY", &c.discovery);
@@ -130,4 +135,25 @@
   return c;
 }
 
+Config Reread(const Config& running) {
+  Config c = FromText(FileText());
+  Override("ROUTER_NAME", &c.name);
+  Override("ROUTER_LISTEN", &c.listen);
+  Override("ROUTER_STATE", &c.state);
+  if (c.discovery.empty()) c.discovery = running.discovery;
+  Check(c);
+  FitToSystem(&c);
+  return c;
+}
+
+std::vector<std::string> NeedingRestart(const Config& running, const Config& next) {
+  std::vector<std::string> keys;
+  if (next.name != running.name) keys.emplace_back("name");
+  if (next.listen != running.listen) keys.emplace_back("listen");
+  if (next.state != running.state) keys.emplace_back("state");
+  if (next.disk_bytes != running.disk_bytes) keys.emplace_back("limits.disk_mb");
+  if (next.settings_text != running.settings_text) keys.emplace_back("settings");
+  return keys;
+}
+
 }  // namespace oxbowspread::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -63,6 +63,7 @@
         end_(loop_, SIGTERM, [this] { phases_.Enter(Phase::kDraining); }),
         interrupt_(loop_, SIGINT, [this] { phases_.Enter(Phase::kDraining); }),
         report_(loop_, SIGUSR1, [this] { Report(); }),
+        reload_(loop_, SIGHUP, [this] { Reload(); }),
         step_(loop_, [this] { Look(); }) {
     clock_.Attach(relay_);
     issuer_.Attach(relay_);
@@ -131,6 +132,29 @@
     step_.After(kLookEach);
   }
 
+  // A file that can't be used must not end what runs: the running configuration stays, and the log tells why.
+  void Reload() {
+    try {
+      config::Config next = config::Reread(config_);
+      const net::Address discovery = AddressOf("discovery", next.discovery);
+      for (const std::string& key : config::NeedingRestart(config_, next)) {
+        std::cout << config_.name << ": reload: " << key << " stays as it is until a restart" << std::endl;
+      }
+      const std::string old = std::exchange(config_.discovery, next.discovery);
+      config_.sockets = next.sockets;
+      counters_.reloads += 1;
+      std::cout << config_.name << ": reloaded, discovery at " << config_.discovery << std::endl;
+      issuer_.SetMostLines(config_.most_lines());
+      if (acquirers_) acquirers_->SetMost(config_.most_clients());
+      if (old == config_.discovery) return;
+      discovery_.MoveTo(discovery, config_.discovery);
+      notices_.MoveTo(discovery, config_.discovery);
+    } catch (const std::exception& e) {
+      counters_.reloads_refused += 1;
+      std::cerr << config_.name << ": reload refused: " << e.what() << std::endl;
+    }
+  }
+
   std::string Text() const {
     return "phase=" + std::string(relay::NameOf(phases_.now())) + "\nheld=" + std::to_string(relay_.held()) +
            "\nout=" + std::to_string(relay_.out()) +
@@ -139,7 +163,7 @@
   }
   void Report() const { std::cout << Text() << std::flush; }
 
-  const config::Config config_;
+  config::Config config_;
   relay::Counters counters_;
   net::Loop loop_;
   relay::Phases phases_;
@@ -151,7 +175,7 @@
   notice::Poster notices_;
   relay::Relay relay_;
   std::optional<acquirer::Acquirers> acquirers_;
-  net::Signal end_, interrupt_, report_;
+  net::Signal end_, interrupt_, report_, reload_;
   net::Timer step_;
   net::Time asked_at_{0};
   std::int64_t drain_ms_ = 0;
@@ -162,6 +186,7 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  net::Signal::HoldBack(SIGHUP);  // a reload asked for while the program starts
   try {
     Program(config::FromEnvironment()).Run();
   } catch (const std::exception& e) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <ctime>
 #include <utility>
 
@@ -12,6 +13,12 @@
   return std::chrono::seconds(t.tv_sec) +
          std::chrono::duration_cast<Time>(std::chrono::nanoseconds(t.tv_nsec));
 }
+void Mask(int how, int number) {
+  sigset_t one;
+  sigemptyset(&one);
+  sigaddset(&one, number);
+  sigprocmask(how, &one, nullptr);
+}
 }  // namespace
 
 Loop::Loop() : loop_(ev::AUTO), prepare_(loop_) {
@@ -37,6 +44,9 @@
     : signal_(loop.ref()), came_(std::move(came)) {
   signal_.set<Signal, &Signal::OnSignal>(this);
   signal_.start(number);
+  Mask(SIG_UNBLOCK, number);
 }
 
+void Signal::HoldBack(int number) { Mask(SIG_BLOCK, number); }
+
 }  // namespace oxbowspread::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -55,6 +55,8 @@
 class Signal {
  public:
   Signal(Loop& loop, int number, std::function<void()> came);
+  // Until a watcher for it starts it neither ends the program nor is lost.
+  static void HoldBack(int number);
 
  private:
   void OnSignal(ev::sig&, int) { came_(); }
--- a/src/notice/notice.cpp
+++ b/src/notice/notice.cpp
@@ -39,6 +39,17 @@
   if (out_.empty() && !next_.active()) next_.After(net::Time(0));
 }
 
+// What is out may have been taken at the old address; telling it twice does no harm, losing it would.
+void Poster::MoveTo(const net::Address& address, std::string host) {
+  address_ = address;
+  host_ = std::move(host);
+  Drop();
+  silence_.Stop();
+  out_.clear();
+  retry_after_ = kRetryFirst;
+  next_.After(net::Time(0));
+}
+
 void Poster::Next() {
   if (owed_.empty() || !out_.empty()) return;
   for (const auto& [id, line] : owed_) {
--- a/src/notice/notice.hpp
+++ b/src/notice/notice.hpp
@@ -21,6 +21,8 @@
   Poster(net::Loop& loop, const net::Address& address, std::string host, relay::Counters& counters);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
 
+  // The platform is somewhere else now: what is owed, or out unanswered, is told there, at once.
+  void MoveTo(const net::Address& address, std::string host);
   void Post(const std::string& id, const journal::Ending& ending) override;
 
  private:
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -39,6 +39,8 @@
       {"list_failures", list_failures},
       {"clients", clients},
       {"clients_turned_away", clients_turned_away},
+      {"reloads", reloads},
+      {"reloads_refused", reloads_refused},
       {"turns", turns},
       {"latest_turn_us", latest_turn_us},
       {"longest_turn_us", longest_turn_us},
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -25,10 +25,27 @@
       failed_(loop, [this] { relay_->RoutingFailed(); }) {}
 
 void Discovery::Watch() {
+  asked_ = true;
+  if (std::exchange(ahead_, false) && watch_ != nullptr) return;
+  Begin();
+}
+
+void Discovery::Begin() {
   counters_.watches += 1;
   Start(watch_, true, "/discovery/hosts?watch=1&from=" + std::to_string(revision_));
 }
 
+// A watch at the old address would end only 1.5 s later, and the module asks again up to 1.3 s after that:
+// too late for what the new address has to tell 4 s after the reload.
+void Discovery::MoveTo(const net::Address& address, std::string host) {
+  address_ = address;
+  host_ = std::move(host);
+  if (fetch_ != nullptr) Fetch();
+  if (!asked_) return;
+  ahead_ = watch_ == nullptr;
+  Begin();
+}
+
 void Discovery::Fetch() { Start(fetch_, false, "/discovery/hosts"); }
 
 void Discovery::Start(std::unique_ptr<Call>& call, bool watch, const std::string& path) {
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -20,6 +20,8 @@
             relay::Counters& counters);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
   void Known(std::int64_t revision) { revision_ = revision; }
+  // Discovery is somewhere else now: what is asked for is asked for there, at once.
+  void MoveTo(const net::Address& address, std::string host);
 
   void Watch() override;
   void Fetch() override;
@@ -51,6 +53,7 @@
     std::string request_, text_;
   };
 
+  void Begin();
   void Start(std::unique_ptr<Call>& call, bool watch, const std::string& path);
   void Ended(Call& call, bool failed);
 
@@ -62,6 +65,8 @@
   relay::Relay* relay_ = nullptr;
   std::int64_t revision_ = 0;
   std::unique_ptr<Call> watch_, fetch_;
+  bool asked_ = false;  // to watch, at any time
+  bool ahead_ = false;  // a watch was begun that the module has yet to ask for
   net::Timer failed_;
 };
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -598,6 +598,66 @@
   CHECK(r.world.NextCall().id() == "id-1");
 }
 
+// ---- reloads ----
+
+// Guards against an end by SIGHUP, and against the environment, which still names the old discovery.
+TEST_CASE("SIGHUP moves the watch and the notices that are owed to the new discovery, well before 4 s") {
+  Relayed r;
+  const std::string old = "127.0.0.1:" + std::to_string(r.world.discovery_port());
+  r.relay.environment["ROUTER_DISCOVERY"] = old;
+  r.relay.Start();
+  r.world.Until([&] { return r.world.watches == 1; });
+  r.world.notice_status = 503;
+  Client client(r.relay);
+  r.Deliver(client, "owed", "hello", 300);
+  r.world.Until([&] { return r.world.notices_refused >= 1; });
+  const HttpRequest call = r.Deliver(client, "kept");
+  r.world.MoveDiscovery();
+  r.world.AddHost("new", 8);  // only the new discovery tells of it
+  r.world.notice_status = 204;
+  auto config = r.relay.config;
+  config["discovery"] = "127.0.0.1:" + std::to_string(r.world.discovery_port());
+  const auto asked = Clock::now();
+  r.relay.Reload(config.dump());
+  r.world.Until([&] { return r.world.watches == 2; });
+  CHECK(r.world.NoticeOf("owed").at("status") == "undeliverable");
+  CHECK(Clock::now() - asked < 2s);
+  const int before = r.world.notices_of_old;
+  client.Put("to-new", "hello", 8000, ",k=key2,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  CHECK(r.world.HostOf(r.world.NextCall()) == "new");
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(client, "delivered", 1);  // what was out goes on
+  CHECK(r.world.notices_of_old == before);
+  CHECK(r.world.watches == 2);
+}
+
+TEST_CASE("a reload that can't be used leaves what runs, with a line that names the key") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Until([&] { return r.world.watches == 1; });
+  const auto refused = [&](const std::string& text, const std::string& line) {
+    r.relay.Reload(text);
+    r.world.Until([&] { return r.relay.log().find(line) != std::string::npos; });
+  };
+  auto config = r.relay.config;
+  refused("{ half a fi", "reload refused: ROUTER_CONFIG: ");
+  config["discovery"] = "localhost:80";
+  refused(config.dump(), "reload refused: discovery: ");
+  config["discovery"] = r.relay.config["discovery"];
+  config["limits"]["sockets"] = "many";
+  refused(config.dump(), "reload refused: limits.sockets: ");
+  config["limits"]["sockets"] = 512;
+  config["settings"]["limits"]["max-open"] = 5;
+  refused(config.dump(), "reload: settings stays as it is until a restart");
+  r.world.Answer(r.Deliver(client, "id-1"), "200 OK");
+  r.UntilOver(client, "delivered", 1);
+  CHECK(client.Counters()["reloads_refused"] == 3);
+  CHECK(client.Counters()["reloads"] == 1);
+  CHECK(r.world.watches == 1);
+}
+
 // ---- configuration ----
 
 TEST_CASE("a configuration that can't work names the key at fault") {
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -132,7 +132,7 @@
 
 void World::Tell(const nlohmann::json& change) {
   for (Peer& peer : peers_) {
-    if (peer.watch) Chunk(peer.socket, change.dump() + "\n");
+    if (peer.watch && !peer.left) Chunk(peer.socket, change.dump() + "\n");
   }
 }
 
@@ -140,6 +140,11 @@
   hosts_[id]["addr"] = "127.0.0.1:" + std::to_string(port);
 }
 
+void World::MoveDiscovery() {
+  for (Peer& peer : peers_) peer.left = peer.left || peer.host.empty();
+  discovery_ = Socket::Listen();
+}
+
 void World::Stop(const std::string& id) { listeners_.erase(id); }
 
 nlohmann::json World::List() const {
@@ -158,7 +163,7 @@
   if (heartbeats && Clock::now() - heartbeat_ > 2s) {
     heartbeat_ = Clock::now();
     for (Peer& peer : peers_) {
-      if (peer.watch) Chunk(peer.socket, "\n");
+      if (peer.watch && !peer.left) Chunk(peer.socket, "\n");
     }
   }
   std::vector<pollfd> polls{{discovery_.fd(), POLLIN, 0}};
@@ -183,7 +188,8 @@
   }
   for (std::size_t i = 0; i < first_peer; ++i) {
     if ((polls[i].revents & POLLIN) == 0) continue;
-    peers_.push_back({Socket(accept(polls[i].fd, nullptr, nullptr)), i == 0 ? "" : names[i - 1], "", false});
+    peers_.push_back(
+        {Socket(accept(polls[i].fd, nullptr, nullptr)), i == 0 ? "" : names[i - 1], "", false, false});
     host_of_[&peers_.back().socket] = peers_.back().host;
     accepted_ += i > 0;
   }
@@ -209,7 +215,9 @@
   if (peer.bytes.size() < head_end + 4 + body) return false;
   request.body = peer.bytes.substr(head_end + 4, body);
   peer.bytes.erase(0, head_end + 4 + body);
-  if (peer.host.empty()) {
+  if (peer.left) {
+    notices_of_old += request.line.find("/v1/outcomes") != request.line.npos;
+  } else if (peer.host.empty()) {
     OnDiscovery(peer, request);
   } else {
     calls_.push_back(std::move(request));
@@ -311,6 +319,7 @@
   if (in_child) in_child();
   setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
   setenv("ROUTER_STATE", state_.c_str(), 1);
+  for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
   execl(OXBOWSPREAD, OXBOWSPREAD, nullptr);
   _exit(127);
 }
@@ -330,6 +339,11 @@
 
 void RelayProcess::Signal(int number) const { kill(pid_, number); }
 
+void RelayProcess::Reload(const std::string& text) const {
+  std::ofstream(folder_ + "/config.json") << text;
+  Signal(SIGHUP);
+}
+
 int RelayProcess::WaitForEnd() {
   int status = 0;
   world_.Until([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -64,6 +64,8 @@
   void Stop(const std::string& id);                                // refuses connections from now on
   nlohmann::json List() const;
   int discovery_port() const { return discovery_.port(); }
+  // Discovery listens at a new port; the old one takes nothing more, what is open there falls silent.
+  void MoveDiscovery();
 
   // The next call at any host; fails the test if none comes in time.
   HttpRequest NextCall(std::chrono::milliseconds limit = 5s);
@@ -80,6 +82,7 @@
   std::map<std::string, nlohmann::json> notices;  // by id
   int notice_status = 204;
   int notices_refused = 0;
+  int notices_of_old = 0;  // told at an address that discovery has left
   int watches = 0;
   bool heartbeats = true;
 
@@ -89,6 +92,7 @@
     std::string host;  // empty: discovery
     std::string bytes;
     bool watch = false;
+    bool left = false;  // at an address that discovery has left
   };
 
   void Serve(std::chrono::milliseconds limit);
@@ -116,13 +120,15 @@
   RelayProcess(const RelayProcess&) = delete;
   RelayProcess& operator=(const RelayProcess&) = delete;
 
-  nlohmann::json config;           // to be changed before Start
+  nlohmann::json config;  // to be changed before Start
+  std::map<std::string, std::string> environment;
   std::function<void()> in_child;  // before the program starts: limits of the system
 
   void Start();  // until it answers PING
   void Signal(int number) const;
-  int WaitForEnd();                 // its exit code, or minus the signal
-  std::string RunToEnd(int* code);  // one that can't start: what it wrote to standard error
+  void Reload(const std::string& text) const;  // replaces the configuration file, then SIGHUP
+  int WaitForEnd();                            // its exit code, or minus the signal
+  std::string RunToEnd(int* code);             // one that can't start: what it wrote to standard error
   int port() const { return port_; }
   const std::string& state() const { return state_; }
   const std::string& log();  // what it has written so far
