Give bad clients an error in time and let no flood crowd out those who ask

Checked: the relay took on any whole number as dest and a keyed class without its key (both by tests); silent connections had no time limit at all, half commands 5 s, and a half command could never be evicted, only idle clients (Acquirers::CloseLongestIdle). Ruled out: unreadable input, wrong lengths and 60 MB values, which got their error at the length already.

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -13,7 +13,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr net::Time kCommandWithin = 5s;
+// Of a connection's first command from the connect, of any other from its first byte: whoever sends nothing,
+// or never all of it, holds a descriptor that others need. The platform lets 3 s pass.
+constexpr net::Time kCommandWithin = 2s;
+constexpr net::Time kIdle = 10s;  // a client that has asked and kept its connection
+// A client asks right after it has connected: one that hasn't by then is the first to give way.
+constexpr net::Time kAsksWithin = 300ms;
 // A command is taken out of the ring as it comes: hundreds of clients share the memory limit.
 constexpr std::size_t kRing = 32 * 1024;
 
@@ -29,7 +34,9 @@
       connection_(loop, fd, *this, kRing),
       timer_(loop, [this] { OnDue(); }),
       next_(loop, [this] { connection_.Resume(); }),
-      quiet_since_(net::Loop::Now()) {}
+      quiet_since_(net::Loop::Now()) {
+  timer_.After(kCommandWithin);
+}
 
 void Client::OnBytes(proto::RingBuffer& in) {
   while (!waiting_ && !in.empty() && connection_.connected()) {
@@ -41,16 +48,22 @@
     }
     if (parser_.state() == proto::RespParser::State::kCommand) Answer(parser_.Take());
   }
-  if (!connection_.connected() || waiting_) return;
-  // A command that stays half told would hold its descriptor for ever.
-  if (parser_.idle() && connection_.flushed()) {
-    timer_.Stop();
-  } else if (!timer_.active()) {
-    timer_.After(kCommandWithin);
-  }
+  if (connection_.connected() && !waiting_) Watch();
+}
+
+// Over a command that doesn't get whole, and over a client that has asked and rests.
+void Client::Watch() {
+  const bool rests = idle() && asked_;
+  if (rests == resting_ && timer_.active()) return;
+  resting_ = rests;
+  timer_.After(rests ? kIdle : kCommandWithin);
 }
 
 void Client::Answer(const std::vector<std::string>& command) {
+  asked_ = true;
+  resting_ = false;
+  timer_.Stop();
+  quiet_since_ = net::Loop::Now();
   if (Is(command[0], "MSG.PUT")) return Put(command);
   if (Is(command[0], "PING")) {
     Say(command.size() > 1 ? proto::RespBulk(command[1]) : "+PONG\r\n");
@@ -69,8 +82,9 @@
   try {
     journal::Authorisation a = ReadPut(std::move(command), net::Loop::UnixNow());
     if (!all_.relay_.KnowsClass(a.class_name)) throw BadCommand("c names no class of the settings");
+    if (a.key.empty() && all_.relay_.NeedsKey(a.class_name)) throw BadCommand("k is missing");
+    if (!all_.relay_.KnowsDestination(a.destination)) throw BadCommand("dest names no partner of the list");
     waiting_ = true;
-    timer_.Stop();
     all_.relay_.Submit(std::move(a), *this);
   } catch (const BadCommand& e) {
     all_.counters_.malformed += 1;
@@ -97,6 +111,7 @@
   quiet_since_ = net::Loop::Now();
   if (all_.closing_ && parser_.idle()) return Leave();
   next_.After(net::Time(0));
+  Watch();
 }
 
 bool Client::Say(const std::string& text) {
@@ -106,7 +121,17 @@
 }
 
 void Client::OnDue() {
-  if (!parser_.idle() || !connection_.connected() || !connection_.flushed()) Leave();
+  if (!resting_ && connection_.connected() && connection_.flushed()) {
+    all_.counters_.clients_too_slow += 1;
+    Say(proto::RespError("ERR no whole command in time"));
+  }
+  Leave();
+}
+
+Client::Claim Client::claim(net::Time now) const {
+  if (!asked_ && now - quiet_since_ > kAsksWithin) return Claim::kNone;
+  if (idle()) return asked_ ? Claim::kIdle : Claim::kNew;
+  return Claim::kServed;
 }
 
 void Client::OnClosed() { Leave(); }
@@ -132,7 +157,7 @@
 
 void Acquirers::Accept(int fd) {
   // Descriptors are shared with the issuer side: clients may not take them all.
-  if (clients_.size() >= most_ && !CloseLongestIdle()) {
+  if (clients_.size() >= most_ && !MakeRoom()) {
     counters_.clients_turned_away += 1;
     close(fd);
     return;
@@ -142,15 +167,20 @@
   clients_.emplace(client.get(), std::move(client));
 }
 
-bool Acquirers::CloseLongestIdle() {
-  Client* longest = nullptr;
+// A flood must not crowd out those who ask: first go connections that have not asked for long, then idle
+// ones, whose clients come again when they need to; never one whose command is on its way or waits for its
+// answer.
+bool Acquirers::MakeRoom() {
+  const net::Time now = net::Loop::Now();
+  Client* least = nullptr;
+  const auto standing = [now](const Client& c) { return std::pair(c.claim(now), c.quiet_since()); };
   for (const auto& [client, owned] : clients_) {
-    if (client->idle() && (longest == nullptr || client->quiet_since() < longest->quiet_since()))
-      longest = client;
+    if (least == nullptr || standing(*client) < standing(*least)) least = client;
   }
-  if (longest == nullptr) return false;
-  longest->Close();
-  Leave(*longest);
+  if (least == nullptr || least->claim(now) == Client::Claim::kServed) return false;
+  counters_.clients_evicted += 1;
+  least->Close();
+  Leave(*least);
   return true;
 }
 
@@ -164,7 +194,13 @@
 void Acquirers::CloseDoor() {
   closing_ = true;
   listener_.Close();
-  while (CloseLongestIdle()) {
+  std::vector<Client*> idle;
+  for (const auto& [client, owned] : clients_) {
+    if (client->idle()) idle.push_back(client);
+  }
+  for (Client* client : idle) {
+    client->Close();
+    Leave(*client);
   }
 }
 
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -24,6 +24,9 @@
   bool TakenOn() override;
   void Refused(relay::Time come_again) override;
   bool idle() const { return !waiting_ && parser_.idle(); }
+  // To its descriptor when others need one, the least first.
+  enum class Claim { kNone, kIdle, kNew, kServed };
+  Claim claim(net::Time now) const;
   net::Time quiet_since() const { return quiet_since_; }
   void Close() { connection_.Close(); }
 
@@ -36,14 +39,17 @@
   void Leave();
   void OnDue();
   void Answered();
+  void Watch();
 
   net::Loop& loop_;
   Acquirers& all_;
   net::Connection connection_;
   proto::RespParser parser_;
-  net::Timer timer_;      // of a command that doesn't get whole, or answers that aren't read
+  net::Timer timer_;      // of a command that doesn't get whole, answers that aren't read, or rest
   net::Timer next_;       // takes up the commands behind one that has been answered
   bool waiting_ = false;  // for the module's word
+  bool asked_ = false;    // a whole command, at any time
+  bool resting_ = false;  // the timer is that of an idle client
   net::Time quiet_since_{0};
 };
 
@@ -63,7 +69,7 @@
   friend class Client;
   void Accept(int fd);
   void Leave(Client& client);
-  bool CloseLongestIdle();
+  bool MakeRoom();
 
   net::Loop& loop_;
   std::size_t most_;
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -42,6 +42,8 @@
       {"list_failures", list_failures},
       {"clients", clients},
       {"clients_turned_away", clients_turned_away},
+      {"clients_evicted", clients_evicted},
+      {"clients_too_slow", clients_too_slow},
       {"reloads", reloads},
       {"reloads_refused", reloads_refused},
       {"turns", turns},
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -33,6 +33,12 @@
   return it == all.end() ? -1 : static_cast<int>(it - all.begin());
 }
 
+bool Relay::NeedsKey(const std::string& class_name) const {
+  const int c = ClassOf(class_name);
+  return c >= 0 &&
+         settings_.classes[static_cast<std::size_t>(c)].semantics == wheathub::Semantics::kDeduplicated;
+}
+
 void Relay::Queue(wheathub::Event event) {
   if (events_.empty()) first_event_ = sides_.clock.Now();
   events_.push_back(std::move(event));
@@ -344,7 +350,10 @@
   wheathub::ListUpdate update;
   update.scope = change.scope;
   update.revision = change.revision;
-  for (const Host& host : change.hosts) update.endpoints.push_back(host.info);
+  for (const Host& host : change.hosts) {
+    update.endpoints.push_back(host.info);
+    named_.insert(host.info.destination);
+  }
   Queue(std::move(update));
 }
 
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -35,6 +35,10 @@
   void Withdraw(Acquirer& from);
   // Where the module knows no class of that name.
   bool KnowsClass(const std::string& name) const { return ClassOf(name) >= 0; }
+  // A keyed class is of no use without its key: a repeat would run twice.
+  bool NeedsKey(const std::string& class_name) const;
+  // Whether any list so far named a host of it. Also true before the first list: then nothing can be told.
+  bool KnowsDestination(wheathub::DestinationId id) const { return named_.empty() || named_.count(id) > 0; }
 
   // From the issuer side. A leg whose begin can't be recorded must not be written.
   bool LegWriting(const LegId& leg, const std::string& host, int zone);
@@ -103,6 +107,9 @@
   Time first_event_{0};
   Time last_turn_ = Time::min() / 2;
   std::multimap<Time, std::string> timers_;
+  // Destinations are partners of the platform: few, and unlike hosts not replaced. Remembered for good, since
+  // a list that lags may hold no host of one whose hosts have all been replaced.
+  std::set<wheathub::DestinationId> named_;
   std::map<std::string, Fresh> fresh_;  // handed in since the last turn
   std::map<std::string, Held> held_;
   std::map<LegId, Out> out_;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -322,12 +322,14 @@
 TEST_CASE("what is over at once is refused as busy, and so is what max_open leaves no room for") {
   Relayed r;
   r.relay.config["settings"]["limits"]["max-open"] = 2;
+  r.world.AddHost("drains", 99);
+  r.world.SetState("drains", "Terminating");
   r.relay.Start();
   Client client(r.relay);
   client.Put("late", "hello", 0);
   CHECK(client.Line().substr(0, 5) == "-BUSY");
   r.Deliver(client, "id-1");
-  // No host serves it, so it would stand where others could: the step that takes it refuses it.
+  // Its only host drains, so it would stand where others could: the step that takes it refuses it.
   client.Put("nowhere", "hello", 8000, ",k=key1,dest=99");
   CHECK(client.Line().substr(0, 6) == "-BUSY ");
   CHECK(client.Counters()["busy_by_module"] == 2);
@@ -408,6 +410,76 @@
   CHECK(good.Ask("NG\r\n") == "+PONG");
 }
 
+// Guards against bad clients that are taken on: nothing could ever end their messages well.
+TEST_CASE("a message that can't be delivered as it stands gets an error, not an OK") {
+  Relayed r;
+  r.relay.Start();
+  Client watcher(r.relay);
+  const auto refused = [&](const std::string& id, const std::string& values) {
+    Client client(r.relay);
+    client.Put(id, "hello", 8000, values);
+    return client.Line().substr(0, 5) == "-ERR ";
+  };
+  CHECK(refused("id-1", ",k=key1,dest=12345"));  // no list ever named a host of it
+  CHECK(refused("id-1", ",k=key1,dest=-1"));
+  CHECK(refused("id-1", ",k=key1,dest=7x"));
+  CHECK(refused("id-1", ",k=key1"));
+  CHECK(refused("id-1", ",dest=7"));  // a keyed class
+  CHECK(refused("id-1", ",k=key1,dest=7,d=soon"));
+  CHECK(refused("id-1", ",k=key1,dest=7,d=-5"));
+  CHECK(refused("id-1", ",k=key1,dest=7,c=unheard"));
+  CHECK(refused("", ",k=key1,dest=7"));
+  CHECK(watcher.Counters()["taken_on"] == 0);
+  CHECK(watcher.Counters()["malformed"] == 9);
+}
+
+// A list that lags may hold no host of a partner whose hosts are just replaced.
+TEST_CASE("a destination that a list named once is still taken on when its host has gone") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  r.world.Until([&] { return r.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  r.world.SetState("a", "Gone");
+  r.UntilOver(client, "list_changes", changes + 1);
+  client.Put("id-1");
+  CHECK(client.Line() == "+OK");
+}
+
+TEST_CASE("silent clients and half commands are closed in time, one that waits for its answer is not") {
+  Relayed r;
+  r.relay.Start();
+  const auto begun = Clock::now();
+  Client good(r.relay), silent(r.relay), half(r.relay), asked(r.relay);
+  half.socket().Send("*5\r\n$7\r\nMSG.PUT\r\n$16\r\n00");
+  REQUIRE(asked.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  const HttpRequest call = r.Deliver(good, "id-1");
+  CHECK(silent.Line().substr(0, 4) == "-ERR");
+  CHECK(silent.Line().empty());
+  CHECK(half.Line().substr(0, 4) == "-ERR");
+  CHECK(Clock::now() - begun < 3s);
+  CHECK(asked.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(good, "delivered", 1);
+}
+
+// Guards against a flood that crowds out those who ask.
+TEST_CASE("hundreds of connections that say nothing give way to clients that ask") {
+  Relayed r;
+  r.relay.config["limits"]["sockets"] = 256;  // 96 clients
+  r.relay.Start();
+  Client good(r.relay);
+  const HttpRequest call = r.Deliver(good, "id-1");
+  std::vector<Client> flood;
+  for (int i = 0; i < 300; ++i) flood.emplace_back(r.relay);
+  Client late(r.relay);
+  r.Deliver(late, "id-2");
+  r.world.Answer(call, "200 OK");
+  r.UntilOver(late, "delivered", 1);
+  CHECK(late.Counters()["clients_turned_away"] == 0);
+  CHECK(late.Counters()["clients_evicted"] >= 200);
+}
+
 TEST_CASE("commands behind one another on a connection are answered in order") {
   Relayed r;
   r.relay.Start();
