Log the phase 'serving' only once the relay listens

Seen: about 2 of 55 relay tests failed in a run of ctest, each time another one, at the first PING, which got no answer for 5 s; none in 60 runs of one test alone, none when rerun. Checked: a client that is refused waits on no socket at all for its 5 s (rig.cpp), so the relay was not hung; the test connects as soon as the log says 'serving', and main.cpp wrote that before it listened.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -87,7 +87,8 @@
   }
 
   void Entered(Phase phase) {
-    std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
+    // Who reads "serving" connects: it is written when that works.
+    if (phase != Phase::kServing) std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
     switch (phase) {
       case Phase::kStarting:
         break;
@@ -106,6 +107,7 @@
         // Not before: whoever can connect is answered, and a PING must mean that all is ready.
         acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.most_clients(), relay_,
                            counters_, [this] { return Text(); });
+        std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
         break;
       case Phase::kDraining:
         asked_at_ = net::Loop::Now();
