Send what can still be in time before what is late

Checked: no leg is held back by the sockets (median 1.2 ms to the first one, held messages near max_open); the module's lanes are in the order of arrival, so a backlog once there makes all that follow late too. What is late by more than an aim is worth the same until its end, so it can wait. The order of arrival among the late stays, so nothing starves before its time ends.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,6 +58,7 @@
 constexpr double kTrialCost = 10;     // a trial: first for what may be repeated, last for what may not
 constexpr double kFeeCost = 5;        // a point of fee
 constexpr double kHeadStartS = 4;     // e times the worth lost a second goes before what came so much earlier
+constexpr double kLateMargin = 1.5;   // usual latencies before its aim a message is late: calls vary
 // Connections.
 constexpr Time kCrowdedWithin = 3s;    // a served call so soon after a failed connect: crowded, not down
 constexpr int kCrowdedStrikes = 2;     // more failed connects in a row speak for an outage
@@ -148,6 +149,7 @@
   double worth = 1;
   int sends = 0;
   bool queued = false, out = false, may_have_run = false, streaming = false;
+  bool late = false;      // can't be served within its aim any more
   Time first_risk_at{0};  // send of the first attempt that may have run, and its zone
   int risk_zone = 0;
   EndpointId last_endpoint;
@@ -283,7 +285,7 @@
   }
   void OnDue(std::monostate) { ClearAlarm(list_alarm_), actions_.push_back(WatchList{}); }
   void OnDue(Destination* d) { ClearAlarm(d->alarm), Touch(*d); }
-  void OnDue(Pending* p) { GiveUp(*p); }
+  void OnDue(Pending* p) { now_ < UnsentUntil(*p) ? FallBehind(*p) : GiveUp(*p); }
   void OnDue(Call* call) { FindOverdue(*call); }
   void OnDue(const std::string& key) { AdvanceLine(key); }
   // One timer for what is due next; those set before can't be withdrawn.
@@ -322,10 +324,24 @@
   }
 
   void Hold(Pending& p) {
-    SetAlarm(p.alarm, UnsentUntil(p), &p);
+    p.late = now_ >= LateAt(p);
+    p.order = {Standing(p), p.seq};
+    SetAlarm(p.alarm, p.late ? UnsentUntil(p) : std::min(LateAt(p), UnsentUntil(p)), &p);
     if (!p.may_have_run) sheddable_.emplace(p.ShedOrder(), &p);
     Enqueue(p);
   }
+  // Too late for its aim: whatever can still be in time goes first. Helps when more comes than can go: a
+  // queue in the order of arrival would serve all of it late. Harm: what fell behind may wait until its time
+  // ends.
+  void FallBehind(Pending& p) {
+    Dequeue(p);
+    Hold(p);
+  }
+  Time LateAt(const Pending& p) const {
+    double least_s = Seconds(kLatencyGuess);
+    for (const Endpoint* e : p.home->endpoints) least_s = std::min(least_s, e->latency_s);
+    return p.aim_at - Micros(kLateMargin * least_s);
+  }
   void Enqueue(Pending& p) {
     if (p.queued || !HasTurn(p)) return;
     p.queued = p.home->lanes[p.Lane()].emplace(p.order, &p).second;
@@ -598,7 +614,8 @@
     const bool even = s_.decay == Decay::kEven;
     const double lost = even ? 1 - c.late_value : std::log(2.0);
     const double slope = p.worth * lost / std::max(0.001, Seconds(even ? c.deadline - c.aim : c.aim));
-    return Seconds(p.aim_at) - kHeadStartS * std::log(std::max(slope, 1e-6));
+    const double behind = p.late ? Seconds(c.deadline) : 0;
+    return Seconds(p.aim_at) + behind - kHeadStartS * std::log(std::max(slope, 1e-6));
   }
   static std::vector<Pending*> Heads(const Destination& d) {
     std::vector<Pending*> heads;
@@ -741,7 +758,6 @@
     p.ends_at = now_ + m.expires_in;
     p.aim_at = p.ends_at - (s_.classes[c].deadline - s_.classes[c].aim);
     p.worth = WorthOf(m);
-    p.order = {Standing(p), p.seq};
     if (Ordered(m)) keys_[m.key].line.push_back(m.id);
     m.history.sends > 0 ? Restore(p) : Hold(p);
   }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -831,6 +831,25 @@
   EXPECT_EQ(rig.sent.size(), 7u);
 }
 
+// Guards against a queue that serves all late because it serves in the order of arrival.
+TEST(Room, WhatCanStillBeInTimeGoesBeforeWhatIsLate) {
+  Settings s = BasicSettings();
+  s.slots = 1;
+  Rig rig(s);
+  rig.List({At("a", 7)});
+  rig.Do({rig.New("busy", 0)});
+  Message old = rig.New("old", 0);
+  old.expires_in = 18500ms;  // 0.5 s before its aim
+  rig.Do({old});
+  rig.Pass(1s);
+  rig.Do({rig.New("new", 0)});
+  rig.Do({rig.End("busy", Outcome::kServed)});
+  EXPECT_EQ(rig.Sends("new"), 1);
+  EXPECT_EQ(rig.Sends("old"), 0);
+  rig.Do({rig.End("new", Outcome::kServed)});
+  EXPECT_EQ(rig.Sends("old"), 1);  // late is worth less, not nothing
+}
+
 TEST(Room, TheLeastWorthIsRefusedNearMaxOpen) {
   Settings s = BasicSettings();
   s.max_open = 20;
