Serve the clients of a draining relay on their connections until the end is near

Checked: at the door's end, 0.5 s after SIGTERM, the relay closed all idle clients, so the front sent all load to the other relay, whose slots carry half of it; the drained relay had slots to spare until 3.1 s. The protocol says that clients keep using their connections for as long as these stay open. At fault: Acquirers::CloseDoor. A relay that owes nothing and that nobody asks for 0.5 s still ends at once. The refusals at the second restart, which came without SIGTERM, remain.

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -108,7 +108,7 @@
 
 void Client::Answered() {
   waiting_ = false;
-  quiet_since_ = net::Loop::Now();
+  quiet_since_ = all_.quiet_since_ = net::Loop::Now();
   if (all_.closing_ && parser_.idle()) return Leave();
   next_.After(net::Time(0));
   Watch();
@@ -191,9 +191,12 @@
   clients_.erase(it);
 }
 
-void Acquirers::CloseDoor() {
+// Clients use the connections that they have for as long as these stay open: one that is closed early sends its
+// share of the load to the other relays, which have slots for their own.
+void Acquirers::CloseDoor() { listener_.Close(); }
+
+void Acquirers::SendAway() {
   closing_ = true;
-  listener_.Close();
   std::vector<Client*> idle;
   for (const auto& [client, owned] : clients_) {
     if (client->idle()) idle.push_back(client);
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -60,8 +60,12 @@
   // Listens at once. Throws std::system_error.
   Acquirers(net::Loop& loop, const net::Address& address, std::size_t most, relay::Relay& relay,
             relay::Counters& counters, Report report);
-  // No new clients; those that are here leave when they are answered.
+  // No new clients; those that are here are served on.
   void CloseDoor();
+  // They leave now, those that wait for an answer once they have it.
+  void SendAway();
+  // Since when nobody has asked for anything.
+  net::Time quiet_since() const { return quiet_since_; }
   void SetMost(std::size_t most) { most_ = most; }
   std::size_t clients() const { return clients_.size(); }
 
@@ -77,6 +81,7 @@
   relay::Counters& counters_;
   Report report_;
   bool closing_ = false;
+  net::Time quiet_since_{0};
   std::map<Client*, std::unique_ptr<Client>> clients_;
   net::Listener listener_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // oxbowspread: one relay. Wires the parts together and walks them through their phases.
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -115,6 +116,7 @@
         break;
       case Phase::kSettling:
         relay_.Settle();
+        if (acquirers_) acquirers_->SendAway();
         break;
       case Phase::kStopped:
         loop_.Stop();
@@ -122,13 +124,14 @@
     }
   }
 
-  // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed.
+  // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed and nobody asks.
   void Look() {
     const net::Time since = net::Loop::Now() - asked_at_;
     drain_ms_ = since / 1ms;
     if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
     if (since >= kSettleAt) phases_.Enter(Phase::kSettling);
-    const bool empty = relay_.done() && relay_.out() == 0 && acquirers_->clients() == 0;
+    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
+    const bool empty = relay_.done() && relay_.out() == 0 && quiet >= kDoorOpen;
     const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0;
     if (empty || settled || since >= kStopAt) return phases_.Enter(Phase::kStopped);
     step_.After(kLookEach);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -767,6 +767,22 @@
   CHECK(r.relay.log().find("delivered=2") != std::string::npos);
 }
 
+// Guards against the load of a relay that drains falling on the others while it could still serve it.
+TEST_CASE("SIGTERM: a client is served on the connection that it has until the end is near") {
+  Relayed r;
+  r.relay.Start();
+  Client client(r.relay);
+  const HttpRequest call = r.Deliver(client, "id-1");
+  r.relay.Signal(SIGTERM);
+  r.world.CallWithin(900ms);  // the door is closed by then
+  CHECK(Socket::Connect(r.relay.port()).fd() < 0);
+  const HttpRequest second = r.Deliver(client, "id-2");
+  r.world.Answer(call, "200 OK");
+  r.world.Answer(second, "200 OK");
+  CHECK(r.relay.WaitForEnd() == 0);
+  CHECK(r.relay.log().find("delivered=2") != std::string::npos);
+}
+
 TEST_CASE("SIGTERM with a leg that gets no answer: the end comes in time, the next process goes on") {
   Relayed r;
   r.relay.Start();
