Let silent and idle clients give way from half of their room on

Checked: counters printed every second show a steady 44 silent connections a second at each relay, clients pinned at 147, the limit, and authorisations falling from 120 to 65 a second in the second in which 147 is reached, and back to 180 when the flood ends. Ruled out: the module (busy_by_module 0), lines (none evicted), turning away (0), and cutting a usual client (clients_evicted_unasked grows by exactly the 44). So clients could not connect: the platform opens no more than a third of the descriptors, 128, and who stays and says nothing counts in that. At fault: Acquirers::Accept, which made room only at its own limit of two fifths.

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -157,7 +157,10 @@
 
 void Acquirers::Accept(int fd) {
   // Descriptors are shared with the issuer side: clients may not take them all.
-  if (clients_.size() >= most_ && !MakeRoom()) {
+  // Room is kept before it runs out: the platform's clients open no more than their share, so one who stays
+  // and asks nothing keeps another from asking long before this side's own limit is reached.
+  if (clients_.size() >= most_ / 2) MakeRoom(Client::Claim::kIdle);
+  if (clients_.size() >= most_ && !MakeRoom(Client::Claim::kNew)) {
     counters_.clients_turned_away += 1;
     close(fd);
     return;
@@ -170,15 +173,16 @@
 // A flood must not crowd out those who ask: first go connections that have not asked for long, then idle
 // ones, whose clients come again when they need to; never one whose command is on its way or waits for its
 // answer.
-bool Acquirers::MakeRoom() {
+bool Acquirers::MakeRoom(Client::Claim most) {
   const net::Time now = net::Loop::Now();
   Client* least = nullptr;
   const auto standing = [now](const Client& c) { return std::pair(c.claim(now), c.quiet_since()); };
   for (const auto& [client, owned] : clients_) {
     if (least == nullptr || standing(*client) < standing(*least)) least = client;
   }
-  if (least == nullptr || least->claim(now) == Client::Claim::kServed) return false;
+  if (least == nullptr || least->claim(now) > most) return false;
   counters_.clients_evicted += 1;
+  counters_.clients_evicted_unasked += least->claim(now) != Client::Claim::kIdle;
   least->Close();
   Leave(*least);
   return true;
@@ -191,8 +195,8 @@
   clients_.erase(it);
 }
 
-// Clients use the connections that they have for as long as these stay open: one that is closed early sends its
-// share of the load to the other relays, which have slots for their own.
+// Clients use the connections that they have for as long as these stay open: one that is closed early sends
+// its share of the load to the other relays, which have slots for their own.
 void Acquirers::CloseDoor() { listener_.Close(); }
 
 void Acquirers::SendAway() {
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -73,7 +73,7 @@
   friend class Client;
   void Accept(int fd);
   void Leave(Client& client);
-  bool MakeRoom();
+  bool MakeRoom(Client::Claim most);  // closes one with that claim or less
 
   net::Loop& loop_;
   std::size_t most_;
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -43,6 +43,7 @@
       {"clients", clients},
       {"clients_turned_away", clients_turned_away},
       {"clients_evicted", clients_evicted},
+      {"clients_evicted_unasked", clients_evicted_unasked},
       {"clients_too_slow", clients_too_slow},
       {"reloads", reloads},
       {"reloads_refused", reloads_refused},
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -480,6 +480,23 @@
   CHECK(late.Counters()["clients_evicted"] >= 200);
 }
 
+// Guards against clients that can't connect: the platform opens no more than a third of the descriptors, and
+// who stays without asking counts in that.
+TEST_CASE("clients that rest give way before the room for clients is used up") {
+  Relayed r;
+  r.relay.config["limits"]["sockets"] = 256;  // 96 clients
+  r.relay.Start();
+  std::vector<Client> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.emplace_back(r.relay);
+    REQUIRE(clients.back().Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  }
+  CHECK(clients.front().Line().empty());  // closed
+  r.world.Answer(r.Deliver(clients.back(), "id-1"), "200 OK");
+  r.UntilOver(clients.back(), "delivered", 1);
+  CHECK(clients.back().Counters()["clients_evicted"] >= 12);
+}
+
 TEST_CASE("commands behind one another on a connection are answered in order") {
   Relayed r;
   r.relay.Start();
