--- a/src/main.cpp
+++ b/src/main.cpp
@@ -124,7 +124,8 @@
     }
   }
 
-  // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed and nobody asks.
+  // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed and nobody
+  // asks.
   void Look() {
     const net::Time since = net::Loop::Now() - asked_at_;
     drain_ms_ = since / 1ms;
--- a/src/relay/counters.hpp
+++ b/src/relay/counters.hpp
@@ -17,7 +17,8 @@
   std::uint64_t legs_held_back = 0;  // by a drain, a told wait or a window while connecting
   std::uint64_t delivered = 0, undeliverable = 0, deferred = 0, notices_taken = 0, notice_retries = 0;
   std::uint64_t watches = 0, list_changes = 0, list_failures = 0;
-  std::uint64_t clients = 0, clients_turned_away = 0, clients_evicted = 0, clients_evicted_unasked = 0, clients_too_slow = 0;
+  std::uint64_t clients = 0, clients_turned_away = 0, clients_evicted = 0, clients_evicted_unasked = 0,
+                clients_too_slow = 0;
   std::uint64_t reloads = 0, reloads_refused = 0;
   std::uint64_t turns = 0, latest_turn_us = 0, longest_turn_us = 0;
 
