--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -149,11 +149,13 @@
 Acquirers::Acquirers(net::Loop& loop, const net::Address& address, std::size_t most, relay::Relay& relay,
                      relay::Counters& counters, Report report)
     : loop_(loop),
+      address_(address),
       most_(most),
       relay_(relay),
       counters_(counters),
-      report_(std::move(report)),
-      listener_(loop, address, [this](int fd) { Accept(fd); }) {}
+      report_(std::move(report)) {
+  OpenDoor();
+}
 
 void Acquirers::Accept(int fd) {
   // Descriptors are shared with the issuer side: clients may not take them all.
@@ -197,7 +199,12 @@
 
 // Clients use the connections that they have for as long as these stay open: one that is closed early sends
 // its share of the load to the other relays, which have slots for their own.
-void Acquirers::CloseDoor() { listener_.Close(); }
+void Acquirers::CloseDoor() { listener_.reset(); }
+
+void Acquirers::OpenDoor() {
+  if (!listener_) listener_.emplace(loop_, address_, [this](int fd) { Accept(fd); });
+  closing_ = false;
+}
 
 void Acquirers::SendAway() {
   closing_ = true;
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,8 @@
             relay::Counters& counters, Report report);
   // No new clients; those that are here are served on.
   void CloseDoor();
+  // New clients again, at the same address. Throws std::system_error where somebody else has taken it.
+  void OpenDoor();
   // They leave now, those that wait for an answer once they have it.
   void SendAway();
   // Since when nobody has asked for anything.
@@ -76,6 +79,7 @@
   bool MakeRoom(Client::Claim most);  // closes one with that claim or less
 
   net::Loop& loop_;
+  net::Address address_;
   std::size_t most_;
   relay::Relay& relay_;
   relay::Counters& counters_;
@@ -83,7 +87,7 @@
   bool closing_ = false;
   net::Time quiet_since_{0};
   std::map<Client*, std::unique_ptr<Client>> clients_;
-  net::Listener listener_;
+  std::optional<net::Listener> listener_;
 };
 
 }  // namespace oxbowspread::acquirer
--- a/src/main.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -1,16 +1,23 @@
 // oxbowspread: one relay. Wires the parts together and walks them through their phases.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <sstream>
 
 #include "acquirer/acquirer.hpp"
 #include "config/config.hpp"
+#include "control/server.hpp"
 #include "issuer/issuer.hpp"
+#include "journal/folder_lock.hpp"
 #include "journal/journal.hpp"
 #include "net/loop.hpp"
 #include "notice/notice.hpp"
@@ -29,6 +36,17 @@
 constexpr net::Time kSettleAt = 3100ms;  // nothing new is sent from then on
 constexpr net::Time kStopAt = 3550ms;    // what is still out is left to the next life
 constexpr net::Time kLookEach = 20ms;    // whether all is done
+constexpr net::Time kPausedLookEach = 100ms;
+
+// What this installation's operators add on the command line; all of it is off by default.
+// Exit codes. 1: something that can't work, by README's rule for the start.
+constexpr int kBadInput = 2;      // a wrong argument, or a file that --check-config finds fault with
+constexpr int kFolderLocked = 3;  // another process holds the state folder
+
+struct Options {
+  std::string control;  // path of the control socket
+  std::string stamp;    // opaque; told again by `status`, so that whoever started it knows it again
+};
 
 class WallClock final : public relay::Clock {
  public:
@@ -51,8 +69,10 @@
 
 class Program {
  public:
-  explicit Program(const config::Config& c)
+  Program(const config::Config& c, Options options)
       : config_(c),
+        options_(std::move(options)),
+        lock_(c.state),
         phases_([this](Phase phase) { Entered(phase); }),
         discovery_address_(AddressOf("discovery", c.discovery)),
         journal_(c.state, c.disk_bytes),
@@ -71,6 +91,11 @@
     discovery_.Attach(relay_);
     notices_.Attach(relay_);
     counters_.journal_cut_bytes = journal_.cut_bytes();
+    if (!options_.control.empty()) {
+      control_.emplace(
+          loop_, options_.control,
+          [this](const control::Json& request, const control::Answer& answer) { answer(Command(request)); });
+    }
   }
 
   void Run() {
@@ -106,10 +131,17 @@
       }
       case Phase::kServing:
         // Not before: whoever can connect is answered, and a PING must mean that all is ready.
-        acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.most_clients(), relay_,
-                           counters_, [this] { return Text(); });
+        if (acquirers_) {
+          acquirers_->OpenDoor();
+        } else {
+          acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.most_clients(), relay_,
+                             counters_, [this] { return Text(); });
+        }
         std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
         break;
+      case Phase::kPaused:
+        door_closed_ = sent_away_ = false;
+        [[fallthrough]];
       case Phase::kDraining:
         asked_at_ = net::Loop::Now();
         step_.After(kDoorOpen);
@@ -127,9 +159,11 @@
   // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed and nobody
   // asks.
   void Look() {
+    if (phases_.now() == Phase::kServing) return;  // resumed
     const net::Time since = net::Loop::Now() - asked_at_;
     drain_ms_ = since / 1ms;
     if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
+    if (phases_.now() == Phase::kPaused) return LookPaused(since);
     if (since >= kSettleAt) phases_.Enter(Phase::kSettling);
     const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
     const bool empty = relay_.done() && relay_.out() == 0 && quiet >= kDoorOpen;
@@ -138,8 +172,75 @@
     step_.After(kLookEach);
   }
 
+  // An operator's drain: clients leave as at the end, but nothing hurries what is held.
+  void LookPaused(net::Time since) {
+    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
+    if (since >= kSettleAt || quiet >= kDoorOpen) {
+      sent_away_ = true;
+      acquirers_->SendAway();  // again and again: one that was asking may rest by now
+    }
+    step_.After(kPausedLookEach);
+  }
+  // Nobody can hand anything in, and nothing is owed any more.
+  bool settled() const {
+    return phases_.now() == Phase::kPaused && sent_away_ && acquirers_->clients() == 0 && relay_.done() &&
+           relay_.out() == 0;
+  }
+
+  // ---- the control socket ----
+
+  control::Json Command(const control::Json& request) {
+    const std::string op = control::TextOf(request, "op");
+    if (op == "status") return Status();
+    if (op == "reload") {
+      if (const auto why = Reload()) return control::Fault(*why);
+      if (request.contains("stamp")) options_.stamp = control::TextOf(request, "stamp");
+    } else if (op == "drain") {
+      if (phases_.now() > Phase::kPaused) return control::Fault("is ending already");
+      if (phases_.now() < Phase::kServing) return control::Fault("is not serving yet");
+      phases_.Enter(Phase::kPaused);
+    } else if (op == "resume") {
+      if (phases_.now() > Phase::kPaused) return control::Fault("is ending already");
+      try {
+        phases_.Resume();
+      } catch (const std::exception& e) {
+        phases_.Enter(Phase::kPaused);
+        return control::Fault("listen: " + config_.listen + ": " + e.what());
+      }
+    } else if (op == "stop") {
+      phases_.Enter(Phase::kDraining);
+    } else {
+      return control::Fault("op: unknown: '" + op + "'");
+    }
+    return Status();
+  }
+
+  control::Json Status() const {
+    control::Json status = {{"ok", true},
+                            {"name", config_.name},
+                            {"pid", getpid()},
+                            {"phase", relay::NameOf(phases_.now())},
+                            {"settled", settled()},
+                            {"stamp", options_.stamp},
+                            {"state", config_.state},
+                            {"listen", config_.listen},
+                            {"clients", acquirers_ ? acquirers_->clients() : 0},
+                            {"held", relay_.held()},
+                            {"out", relay_.out()}};
+    const relay::Counters& c = counters_;
+    status["counters"] = {{"authorisations", c.authorisations},
+                          {"taken_on", c.taken_on},
+                          {"busy", c.busy_by_module + c.busy_full + c.busy_journal},
+                          {"delivered", c.delivered},
+                          {"undeliverable", c.undeliverable},
+                          {"deferred", c.deferred},
+                          {"recovered", c.recovered},
+                          {"reloads", c.reloads}};
+    return status;
+  }
+
   // A file that can't be used must not end what runs: the running configuration stays, and the log tells why.
-  void Reload() {
+  std::optional<std::string> Reload() {
     try {
       config::Config next = config::Reread(config_);
       const net::Address discovery = AddressOf("discovery", next.discovery);
@@ -152,13 +253,15 @@
       std::cout << config_.name << ": reloaded, discovery at " << config_.discovery << std::endl;
       issuer_.SetMostLines(config_.most_lines());
       if (acquirers_) acquirers_->SetMost(config_.most_clients());
-      if (old == config_.discovery) return;
+      if (old == config_.discovery) return std::nullopt;
       discovery_.MoveTo(discovery, config_.discovery);
       notices_.MoveTo(discovery, config_.discovery);
     } catch (const std::exception& e) {
       counters_.reloads_refused += 1;
       std::cerr << config_.name << ": reload refused: " << e.what() << std::endl;
+      return e.what();
     }
+    return std::nullopt;
   }
 
   std::string Text() const {
@@ -170,6 +273,8 @@
   void Report() const { std::cout << Text() << std::flush; }
 
   config::Config config_;
+  Options options_;
+  journal::FolderLock lock_;
   relay::Counters counters_;
   net::Loop loop_;
   relay::Phases phases_;
@@ -186,15 +291,54 @@
   net::Time asked_at_{0};
   std::int64_t drain_ms_ = 0;
   bool door_closed_ = false;
+  bool sent_away_ = false;
+  std::optional<control::Server> control_;
 };
 
+// What the file says, without starting anything: 0, or 2 and one line.
+int CheckConfig(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  try {
+    if (!file) throw config::Error("config", "can't read " + path);
+    const config::Config c = config::Checked(text.str());
+    AddressOf("listen", c.listen);
+    AddressOf("discovery", c.discovery);
+  } catch (const std::exception& e) {
+    std::cerr << "oxbowspread: " << path << ": " << e.what() << "\n";
+    return kBadInput;
+  }
+  std::cout << path << ": can be used\n";
+  return 0;
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  CLI::App app{"oxbowspread: one relay. Started without arguments it takes all from $ROUTER_CONFIG."};
+  Options options;
+  std::string check;
+  app.add_option("--control", options.control,
+                 "listen for oxbowctl and oxbowagent at this Unix-domain socket");
+  app.add_option("--stamp", options.stamp, "told again by the control socket's status");
+  app.add_option("--check-config", check, "check this configuration file, start nothing");
+  app.set_version_flag("--version", std::string("oxbowspread " OXBOWSPREAD_VERSION));
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    if (e.get_exit_code() == 0) return app.exit(e);
+    std::cerr << "oxbowspread: " << e.what() << "\n";
+    return kBadInput;
+  }
+  if (!check.empty()) return CheckConfig(check);
   std::signal(SIGPIPE, SIG_IGN);
   net::Signal::HoldBack(SIGHUP);  // a reload asked for while the program starts
   try {
-    Program(config::FromEnvironment()).Run();
+    Program(config::FromEnvironment(), options).Run();
+  } catch (const journal::FolderLocked& e) {
+    std::cerr << "oxbowspread: " << e.what() << "\n";
+    return kFolderLocked;
   } catch (const std::exception& e) {
     std::cerr << "oxbowspread: " << e.what() << "\n";
     return 1;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -124,6 +124,12 @@
   return c;
 }
 
+Config Checked(const std::string& text) {
+  Config c = FromText(text);
+  Check(c);
+  return c;
+}
+
 Config FromEnvironment() {
   Config c = FromText(FileText());
   Override("ROUTER_NAME", &c.name);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -47,5 +47,7 @@
 std::vector<std::string> NeedingRestart(const Config& running, const Config& next);
 // From the file's text, without the variables. Throws Error.
 Config FromText(const std::string& text);
+// The same, as a file that stands for itself: what a relay could not work with throws as well.
+Config Checked(const std::string& text);
 
 }  // namespace oxbowspread::config
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -4,10 +4,13 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <system_error>
 #include <utility>
 
@@ -17,6 +20,13 @@
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
+bool UnixAddress(const std::string& path, sockaddr_un* address) {
+  *address = {};
+  address->sun_family = AF_UNIX;
+  if (path.empty() || path.size() >= sizeof address->sun_path) return false;
+  std::memcpy(address->sun_path, path.data(), path.size());
+  return true;
+}
 bool Again(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 }  // namespace
 
@@ -42,13 +52,26 @@
   io_.start(fd_, ev::READ);
 }
 
-std::unique_ptr<Connection> Connection::Open(Loop& loop, const Address& to, User& user) {
+std::unique_ptr<Connection> Connection::Open(Loop& loop, const Address& to, User& user, std::size_t limit) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  return Start(loop, fd, reinterpret_cast<const sockaddr*>(&to), sizeof to, user, limit);
+}
+
+std::unique_ptr<Connection> Connection::OpenUnix(Loop& loop, const std::string& path, User& user,
+                                                 std::size_t limit) {
+  sockaddr_un to{};
+  if (!UnixAddress(path, &to)) return nullptr;
+  const int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  return Start(loop, fd, reinterpret_cast<const sockaddr*>(&to), sizeof to, user, limit);
+}
+
+std::unique_ptr<Connection> Connection::Start(Loop& loop, int fd, const sockaddr* to, socklen_t size,
+                                              User& user, std::size_t limit) {
   if (fd < 0) return nullptr;
-  auto connection = std::make_unique<Connection>(loop, fd, user);
+  auto connection = std::make_unique<Connection>(loop, fd, user, limit);
   connection->connecting_ = true;
   connection->Watch();
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+  if (connect(fd, to, size) != 0 && errno != EINPROGRESS) {
     connection->broken_ = true;
     connection->io_.feed_event(ev::WRITE);  // told from the loop, as any other failure
   }
@@ -168,6 +191,41 @@
     Close();
     throw std::system_error(error, std::generic_category(), "listen");
   }
+  Start();
+}
+
+Listener::Listener(Loop& loop, const std::string& path, Accepted accepted)
+    : fd_(socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      spare_(open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      accepted_(std::move(accepted)),
+      io_(loop.ref()) {
+  sockaddr_un address{};
+  const auto fail = [this](int error, const char* what) {
+    Close();
+    throw std::system_error(error, std::generic_category(), what);
+  };
+  if (!UnixAddress(path, &address)) fail(ENAMETOOLONG, "control socket");
+  const auto* const at = reinterpret_cast<const sockaddr*>(&address);
+  struct stat there {};
+  if (lstat(path.c_str(), &there) == 0) {
+    if (!S_ISSOCK(there.st_mode)) fail(EEXIST, "control socket: what stands there is no socket");
+    const int probe = socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const bool taken = connect(probe, at, sizeof address) == 0 || errno == EAGAIN;
+    close(probe);
+    if (taken) fail(EADDRINUSE, "control socket");
+    unlink(path.c_str());
+  }
+  const mode_t before = umask(0177);
+  const bool bound = bind(fd_, at, sizeof address) == 0;
+  const int error = errno;
+  umask(before);
+  if (!bound) fail(error, "control socket");
+  path_ = path;
+  if (listen(fd_, 64) != 0) fail(errno, "control socket");
+  Start();
+}
+
+void Listener::Start() {
   io_.set<Listener, &Listener::OnIo>(this);
   Resume();
 }
@@ -180,6 +238,7 @@
   io_.stop();
   if (fd_ >= 0) close(std::exchange(fd_, -1));
   if (spare_ >= 0) close(std::exchange(spare_, -1));
+  if (!path_.empty()) unlink(std::exchange(path_, {}).c_str());
 }
 
 void Listener::OnIo(ev::io&, int) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -34,7 +34,11 @@
   // Takes over an accepted socket.
   Connection(Loop& loop, int fd, User& user, std::size_t limit = kRing);
   // Starts to connect; nothing when no socket could be had.
-  static std::unique_ptr<Connection> Open(Loop& loop, const Address& to, User& user);
+  static std::unique_ptr<Connection> Open(Loop& loop, const Address& to, User& user,
+                                          std::size_t limit = kRing);
+  // The same to a Unix-domain socket; a path that is too long counts as one that nobody listens at.
+  static std::unique_ptr<Connection> OpenUnix(Loop& loop, const std::string& path, User& user,
+                                              std::size_t limit = kRing);
   ~Connection() { Close(); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -53,6 +57,8 @@
   void Resume();
 
  private:
+  static std::unique_ptr<Connection> Start(Loop& loop, int fd, const sockaddr* to, socklen_t size, User& user,
+                                           std::size_t limit);
   void OnIo(ev::io& io, int events);
   void OnWritable();
   void OnReadable();
@@ -74,6 +80,9 @@
   using Accepted = std::function<void(int fd)>;
   // Throws std::system_error if the address can't be had.
   Listener(Loop& loop, const Address& address, Accepted accepted);
+  // At a Unix-domain socket that only this user may open. A file that a dead process left there is replaced;
+  // where somebody still answers, or where no socket stands, it throws and changes nothing.
+  Listener(Loop& loop, const std::string& path, Accepted accepted);
   ~Listener() { Close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -85,8 +94,11 @@
  private:
   void OnIo(ev::io&, int);
 
+  void Start();
+
   int fd_;
-  int spare_;  // given up for a moment when descriptors run out, to turn a client away
+  std::string path_;  // of a Unix-domain socket, removed with it
+  int spare_;         // given up for a moment when descriptors run out, to turn a client away
   Accepted accepted_;
   ev::io io_;
 };
--- a/src/relay/phase.hpp
+++ b/src/relay/phase.hpp
@@ -10,13 +10,15 @@
   kStarting,    // configuration read, nothing served
   kRecovering,  // what the journal still owes goes to the module
   kServing,
+  kPaused,    // takes nothing new and finishes what it holds, but stays up: an operator's drain
   kDraining,  // asked to end: clients that still come are served, what is held is finished
   kSettling,  // nothing new is sent; answers to what is out are still taken
   kStopped
 };
 
 inline const char* NameOf(Phase phase) {
-  constexpr const char* kNames[] = {"starting", "recovering", "serving", "draining", "settling", "stopped"};
+  constexpr const char* kNames[] = {"starting", "recovering", "serving", "paused",
+                                    "draining", "settling",   "stopped"};
   return kNames[static_cast<int>(phase)];
 }
 
@@ -26,7 +28,13 @@
   explicit Phases(Entered entered) : entered_(std::move(entered)) {}
 
   Phase now() const { return now_; }
-  // Only ever forward; a phase passed by is not entered.
+  // Back from kPaused, the one phase that is left that way.
+  void Resume() {
+    if (now_ != Phase::kPaused) return;
+    now_ = Phase::kServing;
+    entered_(now_);
+  }
+  // Else only ever forward; a phase passed by is not entered.
   void Enter(Phase next) {
     if (next <= now_) return;
     now_ = next;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -842,6 +842,8 @@
   CHECK(r.world.NoticeOf("owed").at("status") == "undeliverable");
   CHECK(Clock::now() - asked < 2s);
   const int before = r.world.notices_of_old;
+  // The watch is told, but its list may still be on its way.
+  r.world.Until([&] { return client.Counters()["list_changes"] >= 2; });
   client.Put("to-new", "hello", 8000, ",k=key2,dest=8");
   REQUIRE(client.Line() == "+OK");
   CHECK(r.world.HostOf(r.world.NextCall()) == "new");
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -123,6 +123,7 @@
 
   nlohmann::json config;  // to be changed before Start
   std::map<std::string, std::string> environment;
+  std::vector<std::string> arguments;
   std::function<void()> in_child;  // before the program starts: limits of the system
 
   void Start();  // until it answers PING
@@ -132,6 +133,8 @@
   std::string RunToEnd(int* code);             // one that can't start: what it wrote to standard error
   int port() const { return port_; }
   const std::string& state() const { return state_; }
+  const std::string& folder() const { return folder_; }
+  pid_t pid() const { return pid_; }
   const std::string& log();  // what it has written so far
 
  private:
