Add the parts of oxbowagent and oxbowctl: engine, lead, keeper, store, keys, group file

Nobody is on duty at night: many relays need a tool that changes them as one group. Parts without I/O decide (change::Engine, lead::Lead, supervise::Keeper); drivers round them are thin.

--- /dev/null
+++ b/src/apps/oxbowagent.cpp
@@ -0,0 +1,68 @@
+// oxbowagent: keeps the relays of one host and takes part in the group's changes.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <optional>
+
+#include "agent/agent.hpp"
+#include "journal/folder_lock.hpp"
+
+namespace {
+using namespace oxbowspread;
+constexpr int kBadInput = 2;
+constexpr int kFolderLocked = 3;
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"oxbowagent: keeps the relays of one host, and with the other agents runs a group's changes"};
+  agent::Options options;
+  app.add_option("--group", options.group_file, "the group file, YAML")->required()->envname("OXBOW_GROUP");
+  app.add_option("--name", options.name, "this agent's name in the group file")->required();
+  app.add_option("--folder", options.folder, "its own folder, which lasts")->required();
+  app.add_option("--relay", options.relay, "the relay's program; beside this one if absent");
+  app.add_option("--store-kb", options.store_kb, "the most its store may hold")
+      ->check(CLI::Range(64, 1 << 20));
+  app.add_flag("--json", options.json_log, "log one JSON object a line");
+  app.set_version_flag("--version", std::string("oxbowagent " OXBOWSPREAD_VERSION));
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    if (e.get_exit_code() == 0) return app.exit(e);
+    std::cerr << "oxbowagent: " << e.what() << "\n";
+    return kBadInput;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
+  try {
+    if (options.relay.empty()) {
+      options.relay =
+          (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "oxbowspread").string();
+    }
+    if (access(options.relay.c_str(), X_OK) != 0) {
+      throw std::runtime_error("--relay: " + options.relay + " can't be run");
+    }
+    options.folder = std::filesystem::absolute(options.folder).lexically_normal().string();
+    options.relay = std::filesystem::absolute(options.relay).string();
+    std::filesystem::create_directories(options.folder);
+    const journal::FolderLock lock(options.folder);
+    net::Loop loop;
+    agent::Agent agent(loop, options);
+    const auto leave = [&](const char* why) {
+      agent.Leave(why);
+      loop.Stop();
+    };
+    net::Signal term(loop, SIGTERM, [&] { leave("SIGTERM"); });
+    net::Signal interrupt(loop, SIGINT, [&] { leave("SIGINT"); });
+    loop.Run();
+  } catch (const journal::FolderLocked& e) {
+    std::cerr << "oxbowagent: " << e.what() << "\n";
+    return kFolderLocked;
+  } catch (const std::exception& e) {
+    std::cerr << "oxbowagent: " << e.what() << "\n";
+    return kBadInput;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/ctl/client.cpp
@@ -0,0 +1,78 @@
+#include "ctl/client.hpp"
+
+#include <utility>
+
+namespace oxbowspread::ctl {
+namespace {
+using namespace std::chrono_literals;
+constexpr net::Time kLimit = 3s;
+constexpr net::Time kAskAgain = 200ms;
+}  // namespace
+
+Client::Client(const group::Group& group, const std::string& as, const std::string& socket) {
+  if (socket.empty()) {
+    if (group.keys.empty())
+      throw group::Error(group.path + ": keys: is missing; name the agent's --socket instead");
+    identity_.emplace(group.keys, as);
+  }
+  for (const group::Agent& agent : group.agents) {
+    if (!socket.empty() && !agents_.empty()) break;
+    agents_.push_back(socket.empty() ? agent.name : "agent");
+    callers_[agents_.back()] =
+        std::make_unique<control::Caller>(loop_, [this, agent, socket](control::Peer::Calls calls) {
+          if (!socket.empty()) return control::Peer::ToUnix(loop_, socket, std::move(calls));
+          return control::Peer::ToTcp(loop_, *net::ParseAddress(agent.address),
+                                      identity_->ToServer(agent.name), std::move(calls));
+        });
+  }
+}
+
+std::map<std::string, Answered> Client::AskAll(const control::Json& request, net::Time limit) {
+  std::map<std::string, Answered> all;
+  std::size_t open = callers_.size();
+  for (const auto& [name, caller] : callers_) {
+    caller->Call(request, limit, [&, n = name](const control::Json* answer, const std::string& why) {
+      all[n] = {answer != nullptr ? std::optional(*answer) : std::nullopt, why};
+      if (--open == 0) loop_.Stop();
+    });
+  }
+  loop_.Run();
+  return all;
+}
+
+Answered Client::Ask(const std::string& agent, const control::Json& request, net::Time limit) {
+  Answered result;
+  callers_.at(agent)->Call(request, limit, [&](const control::Json* answer, const std::string& why) {
+    result = {answer != nullptr ? std::optional(*answer) : std::nullopt, why};
+    loop_.Stop();
+  });
+  loop_.Run();
+  return result;
+}
+
+void Client::Rest(net::Time span) {
+  net::Timer timer(loop_, [this] { loop_.Stop(); });
+  timer.After(span);
+  loop_.Run();
+}
+
+control::Json Client::AskLeader(const control::Json& request, net::Time patience) {
+  const net::Time until = net::Loop::Now() + patience;
+  std::string why, next = agents_.front();
+  for (std::size_t tried = 0;; ++tried) {
+    Answered got = Ask(next, request, kLimit);
+    if (got.answer && got.answer->value("ok", false)) return *got.answer;
+    std::string leader;
+    if (got.answer) {
+      if (!got.answer->contains("leader")) throw Refused(control::TextOf(*got.answer, "error"));
+      leader = control::TextOf(*got.answer, "leader");
+    }
+    why = next + ": " + (got.answer ? control::TextOf(*got.answer, "error") : got.why);
+    if (net::Loop::Now() >= until) throw OutOfReach(why);
+    const bool known = callers_.count(leader) > 0 && leader != next;
+    next = known ? leader : agents_[(tried + 1) % agents_.size()];
+    if (!known) Rest(kAskAgain);
+  }
+}
+
+}  // namespace oxbowspread::ctl
--- /dev/null
+++ b/src/ctl/client.hpp
@@ -0,0 +1,53 @@
+// The operators' side of the agents: asks one, all, or whoever leads, and waits for the answers.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "control/server.hpp"
+#include "group/group.hpp"
+#include "tls/session.hpp"
+
+namespace oxbowspread::ctl {
+
+// No agent answers, or none leads for too long.
+class OutOfReach : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+// An agent refused, in its words.
+class Refused : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Answered {
+  std::optional<control::Json> answer;
+  std::string why;  // there is none
+};
+
+class Client {
+ public:
+  // By the group's keys as member `as`; or, where `socket` names one, only the agent that listens there.
+  Client(const group::Group& group, const std::string& as, const std::string& socket);
+
+  // All at once, each within the limit; by the agent's name.
+  std::map<std::string, Answered> AskAll(const control::Json& request, net::Time limit);
+  // Whoever leads, found by asking around, for up to `patience`. Throws OutOfReach or Refused.
+  control::Json AskLeader(const control::Json& request, net::Time patience);
+  void Rest(net::Time span);
+
+ private:
+  Answered Ask(const std::string& agent, const control::Json& request, net::Time limit);
+
+  net::Loop loop_;
+  std::optional<tls::Identity> identity_;
+  std::vector<std::string> agents_;
+  std::map<std::string, std::unique_ptr<control::Caller>> callers_;
+};
+
+}  // namespace oxbowspread::ctl
--- /dev/null
+++ b/src/group/group.cpp
@@ -0,0 +1,264 @@
+#include "group/group.hpp"
+
+#include <openssl/sha.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "net/connection.hpp"
+
+namespace oxbowspread::group {
+namespace {
+
+// One file as it is read: knows how to name a fault.
+class Reader {
+ public:
+  explicit Reader(std::string path) : path_(std::move(path)) {}
+
+  [[noreturn]] void Fail(const YAML::Mark& mark, const std::string& key, const std::string& what) const {
+    const std::string line = mark.line >= 0 ? ":" + std::to_string(mark.line + 1) : "";
+    throw Error(path_ + line + ": " + key + ": " + what);
+  }
+
+  void Only(const YAML::Node& map, const std::string& where, const std::set<std::string>& keys) const {
+    if (!map.IsMap()) Fail(map.Mark(), where, "must be a mapping");
+    std::set<std::string> seen;
+    for (const auto& pair : map) {
+      const std::string key = pair.first.IsScalar() ? pair.first.Scalar() : "?";
+      if (keys.count(key) == 0)
+        Fail(pair.first.Mark(), where.empty() ? key : where + "." + key, "is not a known key");
+      if (!seen.insert(key).second) Fail(pair.first.Mark(), key, "stands twice");
+    }
+  }
+
+  std::string Text(const YAML::Node& map, const char* key, const std::string& where, bool needed) const {
+    const YAML::Node node = map[key];
+    if (!node) {
+      if (needed) Fail(map.Mark(), where + key, "is missing");
+      return {};
+    }
+    if (!node.IsScalar() || node.Scalar().empty()) Fail(node.Mark(), where + key, "must be a text");
+    return node.Scalar();
+  }
+
+  double Number(const YAML::Node& map, const char* key, const std::string& where, double least, double most,
+                double absent) const {
+    const YAML::Node node = map[key];
+    if (!node) return absent;
+    double value = NAN;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) ||
+        !(value >= least && value <= most)) {
+      std::ostringstream range;
+      range << "must be a number from " << least << " to " << most;
+      Fail(node.Mark(), where + key, range.str());
+    }
+    return value;
+  }
+  int Whole(const YAML::Node& map, const char* key, const std::string& where, int least, int most,
+            int absent) const {
+    const double value = Number(map, key, where, least, most, absent);
+    if (value != std::floor(value)) Fail(map[key].Mark(), where + key, "must be a whole number");
+    return static_cast<int>(value);
+  }
+  // "250ms", "20s", "3m"
+  change::Time Span(const YAML::Node& map, const char* key, change::Time absent) const {
+    const YAML::Node node = map[key];
+    if (!node) return absent;
+    const std::string text = node.IsScalar() ? node.Scalar() : "";
+    std::size_t end = 0;
+    double value = -1;
+    try {
+      value = std::stod(text, &end);
+    } catch (const std::exception&) {
+    }
+    const std::string unit = text.substr(std::min(end, text.size()));
+    const double factor = unit == "ms" ? 1e3 : unit == "s" ? 1e6 : unit == "m" ? 6e7 : 0;
+    if (!(value >= 0) || factor == 0 || value * factor > 8.64e10) {
+      Fail(node.Mark(), std::string("limits.") + key,
+           "must be a span such as 250ms, 20s or 3m, not '" + text + "'");
+    }
+    return change::Time(static_cast<change::Time::rep>(value * factor));
+  }
+
+  int MinuteOfDay(const YAML::Node& map, const char* key) const {
+    const std::string text = Text(map, key, "freeze.", true);
+    int hour = -1, minute = -1, used = 0;
+    const bool good = std::sscanf(text.c_str(), "%2d:%2d%n", &hour, &minute, &used) == 2 &&
+                      used == static_cast<int>(text.size()) && hour >= 0 && hour <= 24 && minute >= 0 &&
+                      minute < 60 && hour * 60 + minute <= 24 * 60;
+    if (!good)
+      Fail(map[key].Mark(), std::string("freeze.") + key,
+           "must be a time such as \"06:30\", not '" + text + "'");
+    return hour * 60 + minute;
+  }
+
+  change::Freeze FreezeOf(const YAML::Node& node) const {
+    constexpr std::array kDays = {"sun", "mon", "tue", "wed", "thu", "fri", "sat"};
+    Only(node, "freeze", {"days", "from", "until"});
+    change::Freeze f;
+    const YAML::Node days = node["days"];
+    if (days && !days.IsSequence()) Fail(days.Mark(), "freeze.days", "must be a list such as [sat, sun]");
+    std::string text;
+    for (const auto& day : days) {
+      const auto it = std::find(kDays.begin(), kDays.end(), day.IsScalar() ? day.Scalar() : "");
+      if (it == kDays.end()) Fail(day.Mark(), "freeze.days", "must be of sun, mon, tue, wed, thu, fri, sat");
+      f.days |= 1u << static_cast<unsigned>(it - kDays.begin());
+      text += (text.empty() ? "" : ",") + std::string(*it);
+    }
+    if (!days) f.days = 0x7f;
+    f.from = MinuteOfDay(node, "from");
+    f.until = MinuteOfDay(node, "until");
+    f.text =
+        (text.empty() ? "every day" : text) + " " + node["from"].Scalar() + " to " + node["until"].Scalar();
+    return f;
+  }
+
+  change::Limits LimitsOf(const YAML::Node& node) const {
+    change::Limits l;
+    if (!node) return l;
+    Only(node, "limits",
+         {"most_out", "batch", "headroom", "belief_age", "observe_for", "settle_within", "ready_within",
+          "watch_for", "refused_rise", "failed_rise", "least_sample", "most_deaths"});
+    l.most_out = Whole(node, "most_out", "limits.", 1, 1000, l.most_out);
+    l.batch = Whole(node, "batch", "limits.", 1, 1000, l.batch);
+    l.headroom = Number(node, "headroom", "limits.", 0.01, 1, l.headroom);
+    l.belief_age = Span(node, "belief_age", l.belief_age);
+    l.observe_for = Span(node, "observe_for", l.observe_for);
+    l.settle_within = Span(node, "settle_within", l.settle_within);
+    l.ready_within = Span(node, "ready_within", l.ready_within);
+    l.watch_for = Span(node, "watch_for", l.watch_for);
+    l.refused_rise = Number(node, "refused_rise", "limits.", 0, 1, l.refused_rise);
+    l.failed_rise = Number(node, "failed_rise", "limits.", 0, 1, l.failed_rise);
+    l.least_sample = Whole(node, "least_sample", "limits.", 1, 1'000'000, l.least_sample);
+    l.most_deaths = Whole(node, "most_deaths", "limits.", 0, 100, l.most_deaths);
+    if (l.belief_age < std::chrono::milliseconds(500)) {
+      Fail(node["belief_age"].Mark(), "limits.belief_age",
+           "must be at least 500ms: agents are asked each 300ms");
+    }
+    return l;
+  }
+
+  std::string Name(const YAML::Node& map, const std::string& where) const {
+    const std::string name = Text(map, "name", where, true);
+    const bool good = name.size() <= 40 && name.front() != '.' && name != "group" &&
+                      name.find_first_not_of(
+                          "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == name.npos;
+    if (!good)
+      Fail(map["name"].Mark(), where + "name",
+           "must be up to 40 letters, digits, '-', '_' and '.', and not 'group'");
+    return name;
+  }
+
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+std::string Beside(const std::string& file, const std::string& path) {
+  const std::filesystem::path p(path);
+  return (p.is_absolute() ? p : std::filesystem::absolute(file).parent_path() / p)
+      .lexically_normal()
+      .string();
+}
+
+}  // namespace
+
+const Agent* Group::FindAgent(const std::string& wanted) const {
+  const auto it =
+      std::find_if(agents.begin(), agents.end(), [&](const Agent& a) { return a.name == wanted; });
+  return it == agents.end() ? nullptr : &*it;
+}
+const Instance* Group::Find(const std::string& wanted) const {
+  const auto it =
+      std::find_if(instances.begin(), instances.end(), [&](const Instance& i) { return i.name == wanted; });
+  return it == instances.end() ? nullptr : &*it;
+}
+std::vector<change::Member> Group::members() const {
+  std::vector<change::Member> all;
+  for (const Instance& i : instances) all.push_back({i.name, i.capacity});
+  return all;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (file) text << file.rdbuf();
+  if (!file) throw Error(path + ": can't be read");
+  return text.str();
+}
+
+std::string VersionOfText(const std::string& text) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest);
+  char hex[16];
+  std::snprintf(hex, sizeof hex, "c%02x%02x%02x%02x%02x", digest[0], digest[1], digest[2], digest[3],
+                digest[4]);
+  return hex;
+}
+
+Group Read(const std::string& path) {
+  const Reader r(path);
+  YAML::Node root;
+  try {
+    root = YAML::Load(ReadFile(path));
+  } catch (const YAML::ParserException& e) {
+    r.Fail(e.mark, "YAML", e.msg);
+  }
+  Group g;
+  g.path = path;
+  r.Only(root, "", {"group", "keys", "agents", "instances", "limits", "freeze"});
+  g.name = r.Text(root, "group", "", true);
+  const std::string keys = r.Text(root, "keys", "", false);
+  if (!keys.empty()) g.keys = Beside(path, keys);
+  const auto list = [&](const char* key) {
+    const YAML::Node node = root[key];
+    if (!node || !node.IsSequence() || node.size() == 0) {
+      r.Fail(node ? node.Mark() : root.Mark(), key, "must be a list with at least one entry");
+    }
+    return node;
+  };
+  for (const auto& node : list("agents")) {
+    r.Only(node, "agents", {"name", "address"});
+    Agent a{r.Name(node, "agents."), r.Text(node, "address", "agents.", true)};
+    if (!net::ParseAddress(a.address)) {
+      r.Fail(node["address"].Mark(), "agents.address",
+             "must be an IPv4 address and port, not '" + a.address + "'");
+    }
+    if (g.FindAgent(a.name) != nullptr) r.Fail(node.Mark(), "agents.name", "'" + a.name + "' stands twice");
+    for (const Agent& other : g.agents) {
+      if (other.address == a.address)
+        r.Fail(node["address"].Mark(), "agents.address", a.address + " stands twice");
+    }
+    g.agents.push_back(std::move(a));
+  }
+  if (g.agents.size() > 1 && g.keys.empty())
+    r.Fail(root.Mark(), "keys", "is missing: agents only talk by the group's keys");
+  for (const auto& node : list("instances")) {
+    r.Only(node, "instances", {"name", "agent", "config", "capacity"});
+    Instance i;
+    i.name = r.Name(node, "instances.");
+    i.agent = r.Text(node, "agent", "instances.", true);
+    i.config_path = Beside(path, r.Text(node, "config", "instances.", true));
+    i.capacity = r.Number(node, "capacity", "instances.", 0, 1e7, 0);
+    if (g.FindAgent(i.agent) == nullptr)
+      r.Fail(node["agent"].Mark(), "instances.agent", "no agent is named '" + i.agent + "'");
+    if (g.Find(i.name) != nullptr) r.Fail(node.Mark(), "instances.name", "'" + i.name + "' stands twice");
+    g.instances.push_back(std::move(i));
+  }
+  g.limits = r.LimitsOf(root["limits"]);
+  if (const YAML::Node freeze = root["freeze"]) {
+    if (!freeze.IsSequence()) r.Fail(freeze.Mark(), "freeze", "must be a list");
+    for (const auto& node : freeze) g.limits.freezes.push_back(r.FreezeOf(node));
+  }
+  return g;
+}
+
+}  // namespace oxbowspread::group
--- /dev/null
+++ b/src/store/store.hpp
@@ -0,0 +1,77 @@
+// What an agent must remember: an SQLite database in its folder. Every call that changes something is on disk
+// when it returns, and has changed nothing when it throws.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+struct sqlite3;
+struct sqlite3_stmt;
+
+namespace oxbowspread::store {
+
+// The disk is full, the file is damaged, ...: in SQLite's words.
+class Error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Desired {
+  std::string want, stamp;
+  bool reload = false;
+};
+
+struct Running {
+  std::int64_t pid = 0;
+  std::uint64_t started = 0;  // by the system's own count, see supervise::StartedAt
+};
+
+struct Happened {
+  std::int64_t number = 0;  // rising
+  std::int64_t unix_ms = 0;
+  std::string change, instance, text;
+};
+
+class Store {
+ public:
+  // Makes the file if it isn't there. `most_kb` bounds it; a store that is full refuses what would make it
+  // larger. Throws Error, also for a file of a later version.
+  Store(const std::string& path, int most_kb);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+
+  std::optional<std::string> Get(const std::string& key);
+  void Put(const std::string& key, const std::string& value);
+
+  std::map<std::string, Desired> AllDesired();
+  void PutDesired(const std::string& instance, const Desired& desired);
+
+  std::optional<Running> RunningOf(const std::string& instance);
+  void PutRunning(const std::string& instance, const Running& running);
+
+  std::optional<std::string> Config(const std::string& instance, const std::string& version);
+  // Keeps the latest kVersions of each instance, and always those that Desired names.
+  void PutConfig(const std::string& instance, const std::string& version, const std::string& text);
+
+  // Keeps the latest kHistory. Never throws: that something can't be told must not stop it.
+  void Tell(const Happened& happened) noexcept;
+  std::vector<Happened> History(std::int64_t after, int most);  // the latest, oldest first
+
+  static constexpr int kVersions = 10;
+  static constexpr int kHistory = 20'000;
+
+ private:
+  class Statement;
+  void Do(const std::string& sql);
+  [[noreturn]] void Fail() const;
+
+  sqlite3* db_ = nullptr;
+};
+
+}  // namespace oxbowspread::store
