Manage many relays as one group: oxbowctl, oxbowagent, demo, and tests that kill at random

A manual restart at the wrong moment costs orders, and nobody is on duty at night. Stand-ins for clients, hosts and discovery serve tests and scripts/demo. A single death loop is told as 'does not come up' rather than as many deaths.

--- a/src/ctl/view.cpp
+++ b/src/ctl/view.cpp
@@ -43,17 +43,17 @@
 
 Json StatusOf(const group::Group& group, const std::map<std::string, Answered>& answers,
               std::int64_t belief_age_ms) {
-  std::map<std::string, const Json*> told;
+  std::map<std::string, Json> told;
   for (const auto& [agent, answered] : answers) {
     if (!answered.answer) continue;
     for (const Json& one : answered.answer->value("instances", Json::array()))
-      told[TextOf(one, "instance")] = &one;
+      told[TextOf(one, "instance")] = one;
   }
   Json all = Json::array();
   for (const group::Instance& i : group.instances) {
     Json row = {{"instance", i.name}, {"agent", i.agent}, {"known", false}, {"phase", "unknown"}};
     if (const auto it = told.find(i.name); it != told.end()) {
-      const Json& one = *it->second;
+      const Json& one = it->second;
       row["wanted"] = Version(TextOf(one, "wanted_stamp"));
       row["want"] = TextOf(one, "want");
       row["deaths"] = NumberOf(one, "deaths");
--- /dev/null
+++ b/src/standin/site.cpp
@@ -0,0 +1,85 @@
+#include "standin/site.hpp"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "tls/keys.hpp"
+
+namespace oxbowspread::standin {
+namespace {
+
+// One partner in two rooms, and one class whose repeats are dropped by key.
+const char kSettings[] = R"({"balancers":1,"rank":0,"discovery":"ask","tick-s":0.005,"weights":"rough",
+  "zones":["north-room","east-room"],"models":["partner"],
+  "services":[{"name":"outbound","semantics":"deduplicated","key-scope":"zone","goal-time-s":3,
+    "deadline-s":16,"repeat-window-s":10,"worth":1,"late-value":0.5}],
+  "family-info":{"calls-out":64,"kind-apart":[true],"bundle-max":[1],"decay":"by_half","carriage":[0,0]},
+  "limits":{"cancel":true,"send-cap":12,"max-open":2000,"retry-after":true,"max-retry-after-s":2,
+    "connect-timeout-s":1.5,"keepalive-s":15},
+  "invariants":{"ask-within-s":10,"cold-from":0.23,"cold-s":13,"drain-grace-s":0.25,"fall-multiple":2,
+    "grace-to-answer-s":0.02,"tip-after-s":3}})";
+
+}  // namespace
+
+int FreePort() {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  socklen_t size = sizeof a;
+  bind(fd, reinterpret_cast<const sockaddr*>(&a), size);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+  close(fd);
+  return ntohs(a.sin_port);
+}
+
+nlohmann::json RelayConfig(const std::string& name, const std::string& listen, int discovery_port) {
+  return {{"name", name},
+          {"listen", listen},
+          {"discovery", "127.0.0.1:" + std::to_string(discovery_port)},
+          {"state", ""},
+          {"seed", "8c1f30d27a5be964"},
+          {"limits", {{"memory_mb", 192}, {"sockets", 512}, {"disk_mb", 3}}},
+          {"settings", nlohmann::json::parse(kSettings)}};
+}
+
+Site MakeSite(const SiteOptions& options) {
+  Site site;
+  const std::string& folder = options.folder;
+  std::filesystem::create_directories(folder);
+  site.group_file = folder + "/group.yaml";
+  std::ofstream yaml(site.group_file);
+  yaml << "group: standin\nkeys: keys\nagents:\n";
+  tls::MakeGroup(folder + "/keys", "standin", 30);
+  tls::Issue(folder + "/keys", "operator", 30 * 86400);
+  for (int i = 0; i < options.agents; ++i) {
+    const std::string name = "host-" + std::string(1, static_cast<char>('a' + i));
+    tls::Issue(folder + "/keys", name, 30 * 86400);
+    yaml << "  - {name: " << name << ", address: \"127.0.0.1:" << FreePort() << "\"}\n";
+    site.agents.push_back(name);
+  }
+  yaml << "instances:\n";
+  for (int i = 0; i < options.instances; ++i) {
+    const std::string name = "n" + std::to_string(i + 1);
+    const std::string listen = "127.0.0.1:" + std::to_string(FreePort());
+    const std::string agent = site.agents[static_cast<std::size_t>(i) % site.agents.size()];
+    nlohmann::json config = RelayConfig(name, listen, options.discovery_port);
+    config["state"] = folder + "/" + agent + "/state/" + name;
+    std::ofstream(folder + "/" + name + ".json") << config.dump(2) << "\n";
+    yaml << "  - {name: " << name << ", agent: " << agent << ", config: " << name
+         << ".json, capacity: " << options.capacity << "}\n";
+    site.instances.push_back(name);
+    site.relays.push_back(listen);
+    site.agent_of.push_back(agent);
+  }
+  if (!options.limits.empty()) yaml << "limits:\n" << options.limits;
+  yaml.close();
+  if (!yaml) throw std::runtime_error(site.group_file + ": can't be written");
+  return site;
+}
+
+}  // namespace oxbowspread::standin
--- a/src/supervise/keeper.cpp
+++ b/src/supervise/keeper.cpp
@@ -144,13 +144,14 @@
   while (now - recent_deaths_.front() > kLoopWithin) recent_deaths_.pop_front();
   next_try_ = now + backoff_;
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
-  if (static_cast<int>(recent_deaths_.size()) > kLoopDeaths) {
-    next_try_ = now + kLoopRest;
+  const bool loop = static_cast<int>(recent_deaths_.size()) > kLoopDeaths;
+  if (loop) next_try_ = now + kLoopRest;
+  if (early_ends_ >= kEarlyEnds) {
+    SetFault("does not come up: it " + Ended(gone.code), actions);
+  } else if (loop) {
     SetFault(
         "died " + std::to_string(recent_deaths_.size()) + " times in a minute, last it " + Ended(gone.code),
         actions);
-  } else if (early_ends_ >= kEarlyEnds) {
-    SetFault("does not come up: it " + Ended(gone.code), actions);
   }
 }
 
