--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -103,8 +103,9 @@
 
 void Agent::Leave(const std::string& why) { Note({}, {}, "agent ends: " + why + "; its relays run on"); }
 
-void Agent::Note(const std::string& change, const std::string& instance, const std::string& text) {
-  log_.Say(info, change, instance, text);
+void Agent::Note(const std::string& change, const std::string& instance, const std::string& text,
+                 const std::string& step) {
+  log_.Say(info, change, instance, text, step);
   store_->Tell({0, UnixMs(), change, instance, text});
 }
 
@@ -586,7 +587,8 @@
     if (const auto* order = std::get_if<change::Order>(&action)) {
       GiveOrder(*order);
     } else if (const auto* tell = std::get_if<change::Tell>(&action)) {
-      Note(engine_ && engine_->record() ? engine_->record()->spec.id : "", tell->instance, tell->text);
+      Note(engine_ && engine_->record() ? engine_->record()->spec.id : "", tell->instance, tell->text,
+           tell->step);
     }
   }
 }
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -79,7 +79,8 @@
   void CheckKeys();
   change::Moment NowMoment() const;
   std::optional<change::Record> KeptRecord() const;
-  void Note(const std::string& change, const std::string& instance, const std::string& text);
+  void Note(const std::string& change, const std::string& instance, const std::string& text,
+            const std::string& step = {});
 
   net::Loop& loop_;
   Options options_;
--- a/src/agent/log.cpp
+++ b/src/agent/log.cpp
@@ -13,7 +13,7 @@
 }
 
 void Log::Say(spdlog::level::level_enum level, const std::string& change, const std::string& instance,
-              const std::string& text) {
+              const std::string& text, const std::string& step) {
   if (!json_) {
     const std::string fields =
         (change.empty() ? "" : " change=" + change) + (instance.empty() ? "" : " instance=" + instance);
@@ -28,6 +28,7 @@
                          {"text", text}};
   if (!change.empty()) line["change"] = change;
   if (!instance.empty()) line["instance"] = instance;
+  if (!step.empty()) line["step"] = step;
   logger_->log(level, "{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/src/agent/log.hpp
+++ b/src/agent/log.hpp
@@ -14,7 +14,7 @@
   Log(std::string agent, bool json);
   // Empty fields are left out.
   void Say(spdlog::level::level_enum level, const std::string& change, const std::string& instance,
-           const std::string& text);
+           const std::string& text, const std::string& step = {});
 
  private:
   std::string agent_;
--- a/src/change/engine.cpp
+++ b/src/change/engine.cpp
@@ -236,8 +236,8 @@
                          record_->spec.id + "." + std::to_string(i + 1) + (undo ? "u" : ""));
 }
 
-void Engine::Note(const std::string& instance, const std::string& text) {
-  tells_.push_back(Tell{instance, text});
+void Engine::Note(const std::string& instance, const std::string& text, const std::string& step) {
+  tells_.push_back(Tell{instance, step, text});
 }
 
 void Engine::SetState(State state, const std::string& why) {
@@ -257,8 +257,8 @@
   work.ordered = Time::min() / 2;
   work.pid = 0;
   changed_ = true;
-  Note(record_->spec.targets[i].instance,
-       std::string(p.undo ? "back: " : "") + NameOf(stage) + (note.empty() ? "" : ": " + note));
+  const std::string step = std::string(p.undo ? "back: " : "") + NameOf(stage);
+  Note(record_->spec.targets[i].instance, step + (note.empty() ? "" : ": " + note), step);
   if (stage == Stage::kPausing || stage == Stage::kTurning) Give(now, i);
 }
 
--- a/src/change/engine.hpp
+++ b/src/change/engine.hpp
@@ -53,7 +53,7 @@
   bool reload = false;  // by a reload if it runs; else by a restart
 };
 struct Tell {
-  std::string instance, text;
+  std::string instance, step, text;
 };  // for the log and the history; instance may be empty
 struct WakeAt {
   Time at{0};
@@ -124,7 +124,7 @@
   bool Active(std::size_t i) const;
   bool AnyStamp(std::size_t i) const;  // it need not be restarted to be where it should
   bool BeingTaken(const std::string& instance) const;
-  void Note(const std::string& instance, const std::string& text);
+  void Note(const std::string& instance, const std::string& text, const std::string& step = {});
 
   Limits limits_;
   std::map<std::string, Known> known_;
--- a/src/standin/ledger.cpp
+++ b/src/standin/ledger.cpp
@@ -68,10 +68,11 @@
   return owed;
 }
 
-Totals Ledger::Sum() const {
+Totals Ledger::Sum(Time since) const {
   Totals t;
   t.repeats = repeats_;
   for (const auto& [number, m] : messages_) {
+    if (m.due < since) continue;
     ++t.asked;
     t.handed_in_again += m.ids.size() > 1 ? static_cast<std::int64_t>(m.ids.size()) - 1 : 0;
     t.answered_twice += m.effects > 1;
@@ -90,6 +91,8 @@
     }
   }
   for (const auto& [id, known] : ids_) {
+    const auto message = messages_.find(known.message);
+    if (message != messages_.end() && message->second.due < since) continue;
     t.answered_twice += known.notices.size() > 1;
     t.noticed_after += known.noticed_after;
   }
--- a/src/standin/ledger.hpp
+++ b/src/standin/ledger.hpp
@@ -44,7 +44,8 @@
 
   // Taken on and neither delivered nor noticed so far.
   std::vector<std::string> Owed() const;
-  Totals Sum() const;
+  // Of the messages that became due then or later; what is owed counts in any case.
+  Totals Sum(Time since = Time(0)) const;
 
   static std::string KeyOf(std::uint64_t message);
 
--- a/tests/group/group_process_test.cpp
+++ b/tests/group/group_process_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "change/record.hpp"
 #include "rig.hpp"
@@ -188,6 +189,86 @@
   CHECK(t.answered_twice == 0);
 }
 
+TEST_CASE("a configuration that comes up and refuses what it is asked fails its gate and is rolled back") {
+  RigOptions o;
+  o.rate = 200;
+  o.limits =
+      "  observe_for: 2s\n  watch_for: 2s\n  settle_within: 4s\n  least_sample: 20\n  refused_rise: 0.05\n";
+  GroupRig rig(o);
+  rig.StartAll();
+  rig.load->Begin();
+  const auto before = Pids(rig);
+  Json bad = rig.ConfigOf("n1");
+  bad["settings"]["limits"]["max-open"] = 1;
+  REQUIRE(rig.Apply({{"n1", bad}}).value("ok", false));
+  REQUIRE(rig.UntilOver());
+  CHECK(rig.ChangeState() == "rolled-back");
+  CHECK(Text(rig.Change().at("change"), "why").find("n1: refused ") == 0);
+  CHECK(rig.Until([&] { return rig.Disagreement().empty(); }));
+  const auto after = Pids(rig);
+  for (const char* name : {"n2", "n3", "n4", "n5"}) CHECK(after.at(name) == before.at(name));
+  CHECK(rig.Settle().lost == 0);
+}
+
+// Of one instance: whoever is killed while it is at a stage, it ends turned, once, and known.
+void KillAtEachStage(bool agent) {
+  GroupRig rig;
+  rig.StartAll();
+  rig.load->Begin();
+  const std::string keeper = rig.site.agent_of[1];
+  for (const char* stage : {"waiting", "pausing", "turning", "watching", "done"}) {
+    INFO("killed while " << stage);
+    REQUIRE(rig.Begin("restart", {"n2"}).value("ok", false));
+    const auto at_stage = [&] {
+      const Json answer = rig.Change();
+      return answer.contains("change") && Text(answer.at("change").at("targets").at(0), "stage") == stage;
+    };
+    // A stage that is over before it is seen has been killed in a later one: the end is the same.
+    rig.Until([&] { return at_stage() || rig.ChangeState() == "done"; });
+    if (agent) {
+      rig.Signal(keeper, SIGKILL);
+      rig.Run(200ms);
+      rig.StartAgent(keeper);
+    } else if (const pid_t pid = rig.RelayPid("n2"); pid > 0) {
+      kill(pid, SIGKILL);
+    }
+    REQUIRE(rig.UntilOver());
+    CHECK(rig.ChangeState() == "done");
+    REQUIRE(rig.Until([&] { return rig.Disagreement().empty(); }));
+    const std::string id = Text(rig.Change().at("change"), "change");
+    CHECK(Text(rig.Beliefs().at("n2"), "stamp").find("@" + id + ".1") != std::string::npos);
+    rig.Run(500ms);
+  }
+  const standin::Totals t = rig.Settle();
+  CHECK(t.lost == 0);
+  CHECK(t.answered_twice == 0);
+}
+
+TEST_CASE("a relay killed at each stage of its change ends turned and known") { KillAtEachStage(false); }
+TEST_CASE("the agent killed at each stage of its instance's change goes on from its store") {
+  KillAtEachStage(true);
+}
+
+TEST_CASE("the agent's log is one JSON object a line where asked, with instance, change and step") {
+  RigOptions o;
+  o.agents = 1;
+  o.instances = 2;
+  o.limits = "  observe_for: 200ms\n  watch_for: 200ms\n";
+  GroupRig rig(o);
+  rig.StartAgent(rig.site.agents[0], {"--json"});
+  REQUIRE(rig.Until([&] { return rig.AllServe() && !rig.Leader().empty(); }));
+  REQUIRE(rig.Begin("restart", {"n1"}).value("ok", false));
+  REQUIRE(rig.UntilOver());
+  std::istringstream lines(rig.AgentLog(rig.site.agents[0]));
+  std::set<std::string> steps;
+  for (std::string line; std::getline(lines, line);) {
+    const Json json = Json::parse(line, nullptr, false);
+    REQUIRE(json.is_object());
+    if (Text(json, "instance") == "n1" && !Text(json, "change").empty()) steps.insert(Text(json, "step"));
+  }
+  CHECK(steps == std::set<std::string>{"pausing", "turning", "watching", "done"});
+}
+
 TEST_CASE("a reload changes the running process, and rollback brings the old configuration back") {
   GroupRig rig;
   rig.StartAll();
