--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -24,6 +24,7 @@
 constexpr net::Time kAnswerWithin = 1s;
 constexpr net::Time kGatherEach = 300ms;
 constexpr net::Time kGroupLookEach = 1s;
+constexpr net::Time kLookAround = 1s;  // more, for a new leader to hear of every instance
 constexpr const char* kLeadKey = "lead";
 
 std::int64_t UnixMs() { return net::Loop::UnixNow() / 1ms; }
@@ -386,6 +387,13 @@
       const change::Belief* b = engine_->Fresh(net::Loop::Now(), name);
       if (group_.Find(name) == nullptr)
         return answer(Fault("the group has no instance '" + name.get<std::string>() + "'"));
+      if (b == nullptr && kind == "restart" &&
+          net::Loop::Now() - leads_since_ < group_.limits.belief_age + kLookAround) {
+        // Asked in the first moments of a new leader: whoever asks comes again, as where nobody leads.
+        Json later = Fault("the new leader has yet to hear of " + name.get<std::string>());
+        later["leader"] = "";
+        return answer(later);
+      }
       if (b == nullptr && kind == "restart") {
         return answer(Fault(name.get<std::string>() + " is unknown: its agent is out of reach"));
       }
@@ -537,6 +545,7 @@
                });
     } else if (const auto* leads = std::get_if<lead::Leads>(&action)) {
       leads_in_ = leads->epoch;
+      leads_since_ = now;
       engine_.emplace(group_.members(), group_.limits);
       Note({}, {}, "leads in epoch " + std::to_string(leads_in_));
       if (!leads->value.empty())
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -94,6 +94,7 @@
   std::optional<lead::Lead> lead_;
   std::optional<change::Engine> engine_;
   lead::Epoch leads_in_ = 0;
+  net::Time leads_since_{0};
   std::deque<Queued> queue_;
   std::map<std::string, std::string> wanted_;  // version that each instance is to run by, as its agent says
   std::map<std::string, bool> asking_;         // agents whose word on their instances is under way
--- a/tests/group/group_process_test.cpp
+++ b/tests/group/group_process_test.cpp
@@ -40,6 +40,31 @@
   CHECK(t.refused + t.unanswered == 0);
 }
 
+// Seeds 113 and 477 of the long table: the leader had not heard of every instance yet, and refused.
+TEST_CASE("a change asked for in the first moment of a new leader is begun, not refused") {
+  GroupRig rig;
+  rig.StartAll();
+  rig.Signal(rig.Leader(), SIGKILL);
+  for (const std::string& name : rig.site.agents) {
+    if (!rig.AgentRuns(name)) rig.StartAgent(name);
+  }
+  const net::Time until = net::Loop::Now() + 20s;
+  Json answer = {{"leader", ""}};
+  for (std::size_t i = 0; answer.contains("leader") && net::Loop::Now() < until; ++i) {
+    const auto got =
+        rig.Ask(rig.site.agents[i % 3],
+                {{"op", "begin"}, {"kind", "restart"}, {"by", "test"}, {"instances", rig.site.instances}});
+    // TellChange names the leader too; a change in the answer is the one that was begun.
+    if (got && (got->value("ok", false) || !got->contains("leader"))) {
+      answer = *got;
+      break;
+    }
+  }
+  INFO(answer.dump());
+  CHECK(answer.value("ok", false));
+  CHECK(answer.contains("change"));
+}
+
 TEST_CASE("agents that are killed leave their relays running, and the next ones adopt them") {
   GroupRig rig;
   rig.StartAll();
