--- a/src/agent/hand.cpp
+++ b/src/agent/hand.cpp
@@ -199,7 +199,9 @@
 
 void Hand::Do(const supervise::Signal& signal) {
   // Never to whoever has come by that pid since.
+  // And never to 0, which would be our whole process group.
   const auto pid = static_cast<pid_t>(signal.pid);
+  if (pid <= 0 || running_.started == 0) return;
   if (signal.pid == running_.pid && supervise::StartedAt(pid) == running_.started) kill(pid, signal.number);
 }
 
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <deque>
 #include <filesystem>
 #include <fstream>
 
@@ -25,15 +26,25 @@
 
 }  // namespace
 
+// Bound for as long as this process lives, or until many later ones were asked for: no connection is given it
+// as its own port meanwhile, and whoever listens there with SO_REUSEADDR, as all of ours do, still may.
 int FreePort() {
+  static std::deque<int> reserved;
+  constexpr std::size_t kMost = 200;
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   socklen_t size = sizeof a;
   bind(fd, reinterpret_cast<const sockaddr*>(&a), size);
   getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
-  close(fd);
+  reserved.push_back(fd);
+  if (reserved.size() > kMost) {
+    close(reserved.front());
+    reserved.pop_front();
+  }
   return ntohs(a.sin_port);
 }
 
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -27,6 +27,6 @@
 Site MakeSite(const SiteOptions& options);
 // The relay's configuration; to be changed and written again for tests of `apply`.
 nlohmann::json RelayConfig(const std::string& name, const std::string& listen, int discovery_port);
-int FreePort();  // on loopback, free a moment ago
+int FreePort();  // on loopback, and kept free for whoever is to listen there
 
 }  // namespace oxbowspread::standin
