--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -168,7 +168,7 @@
   };
   try {
     text = group::ReadFile(options_.group_file);
-    if (text == group_text_) return;
+    if (text == group_text_) return group_refused_.clear();  // also a bad edit that was taken back
     const auto record = KeptRecord();
     if (record && !change::Over(record->state))
       return refuse("change " + record->spec.id + " is not over yet");
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -38,11 +38,11 @@
 constexpr net::Time kLookEach = 20ms;    // whether all is done
 constexpr net::Time kPausedLookEach = 100ms;
 
-// What this installation's operators add on the command line; all of it is off by default.
 // Exit codes. 1: something that can't work, by README's rule for the start.
 constexpr int kBadInput = 2;      // a wrong argument, or a file that --check-config finds fault with
 constexpr int kFolderLocked = 3;  // another process holds the state folder
 
+// What operators add on the command line; all of it is off by default.
 struct Options {
   std::string control;  // path of the control socket
   std::string stamp;    // opaque; told again by `status`, so that whoever started it knows it again
