Give the rig's agents process groups of their own: an orphaned group gets SIGHUP

Cause of the three test runs that ended with no word: POSIX sends SIGHUP to a process group that becomes orphaned while a member is stopped. Shown with a small program: same group, SIGHUP came; own group, it lived on.

--- a/tests/group/rig.cpp
+++ b/tests/group/rig.cpp
@@ -85,8 +85,15 @@
   const std::string log = folder + "/" + name + ".log";
   posix_spawn_file_actions_addopen(&files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&files, 1, 2);
+  // In a process group of its own. A group that becomes orphaned with a stopped member gets SIGHUP (POSIX,
+  // _exit): when the shell above ended while an agent was stopped, this process was ended with no word.
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
+  posix_spawnattr_setpgroup(&attributes, 0);
   pid_t pid = 0;
-  REQUIRE(posix_spawn(&pid, OXBOWAGENT, &files, nullptr, argv.data(), environ) == 0);
+  REQUIRE(posix_spawn(&pid, OXBOWAGENT, &files, &attributes, argv.data(), environ) == 0);
+  posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&files);
   agents_[name] = pid;
 }
