Write once what stood twice, and say units, errors and ownership in public headers

A reading of the whole change found: the stand-ins' settings beside those of the relay's rig, three copies of how arguments are read, the store's note of a process written twice, three times the same reply, all of every agent's history fetched each half second, an action (WakeAt) nobody used, a wish (stopped) nobody could utter, and a change on record that can't be read ending the agent as it begins to lead.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -60,7 +60,7 @@
       gather_(loop, [this] { Gather(); }),
       group_look_(loop, [this] { LookAtGroup(); }),
       child_(loop, SIGCHLD, [this] {
-        for (auto& [name, hand] : hands_) hand->Reap();
+        for (auto& [name, hand] : hands_) hand->CheckAlive();
       }) {
   const group::Agent* const own = group_.FindAgent(options_.name);
   if (own == nullptr) throw group::Error(group_.path + ": agents: none is named '" + options_.name + "'");
@@ -369,8 +369,7 @@
   if (const auto& record = engine_->record(); record && !change::Over(record->state)) {
     if (kind == "rollback") {
       StepEngine({change::Say{change::Word::kRollBack}});
-      queue_.push_back({Reply{[this, answer](bool led) { answer(led ? TellChange() : NotLeading()); }}});
-      return Drain();
+      return AnswerWhenKept(answer);
     }
     change::Spec any;
     any.targets.emplace_back();
@@ -465,8 +464,7 @@
   if (const std::string why = engine_->Objection(spec); !why.empty()) return answer(Fault(why));
   if (request.value("dry_run", false)) return answer(Plan(spec));
   StepEngine({change::Begin{spec}});
-  queue_.push_back({Reply{[this, answer](bool led) { answer(led ? TellChange() : NotLeading()); }}});
-  Drain();
+  AnswerWhenKept(answer);
 }
 
 control::Json Agent::Plan(const change::Spec& spec) {
@@ -501,8 +499,7 @@
     return answer(Fault("word: unknown: '" + word + "'"));
   }
   StepEngine({change::Say{w}});
-  queue_.push_back({Reply{[this, answer](bool led) { answer(led ? TellChange() : NotLeading()); }}});
-  Drain();
+  AnswerWhenKept(answer);
 }
 
 // ---- leading ----
@@ -548,8 +545,12 @@
       leads_since_ = now;
       engine_.emplace(group_.members(), group_.limits);
       Note({}, {}, "leads in epoch " + std::to_string(leads_in_));
-      if (!leads->value.empty())
-        StepEngine({change::Continue{change::RecordFrom(Json::parse(leads->value))}});
+      try {
+        if (const auto record = KeptRecord()) StepEngine({change::Continue{*record}});
+      } catch (const std::exception& e) {
+        // Kept whole by most, so written by another program: a person must look, and the relays run on.
+        Note({}, {}, std::string("the change on record can't be read and is not continued: ") + e.what());
+      }
       Gather();
     } else if (const auto* stopped = std::get_if<lead::Stopped>(&action)) {
       LeadNoMore();
@@ -575,6 +576,13 @@
   Drain();
 }
 
+// With the change as it stands once all that was decided so far is on record, or with who leads instead of
+// us.
+void Agent::AnswerWhenKept(const control::Answer& answer) {
+  queue_.push_back({Reply{[this, answer](bool led) { answer(led ? TellChange() : NotLeading()); }}});
+  Drain();
+}
+
 void Agent::Drain() {
   while (!queue_.empty()) {
     if (const auto* first = std::get_if<change::Action>(&queue_.front().what)) {
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -31,11 +31,15 @@
   int store_kb = 16 * 1024;
 };
 
+// One per process. It is destroyed after its loop has ended, and leaves all relays running.
 class Agent {
  public:
-  // Reads the group and opens store and sockets; throws what names the fault.
+  // Reads the group file, opens store and sockets, and begins to keep its instances as soon as the loop runs.
+  // The loop must outlive it. Throws, in one line that names the fault: group::Error, store::Error,
+  // config::Error of an instance's file, std::runtime_error of the keys, std::system_error of a socket;
+  // nothing was started then.
   Agent(net::Loop& loop, const Options& options);
-  // For a loop that ends: the relays run on.
+  // Writes in log and history that the agent ends and why; to be called before the loop is stopped.
   void Leave(const std::string& why);
 
  private:
@@ -68,6 +72,7 @@
   void StepLead(const std::vector<lead::Event>& events, const std::string& asker = {}, Json* reply = nullptr);
   void StepEngine(std::vector<change::Event> events);
   void Drain();
+  void AnswerWhenKept(const control::Answer& answer);
   void LeadNoMore();
   void GiveOrder(const change::Order& order);
   void Gather();
--- a/src/agent/hand.cpp
+++ b/src/agent/hand.cpp
@@ -107,17 +107,21 @@
 }
 
 void Hand::Adopt(std::int64_t pid) {
-  running_ = {pid, supervise::StartedAt(static_cast<pid_t>(pid))};
-  if (running_.started == 0) return;  // ended just now: the next look will see
-  child_ = false;
+  if (supervise::StartedAt(static_cast<pid_t>(pid)) == 0) return;  // ended just now: the next look will see
   told_.clear();
+  Remember(pid, false);
+  Step({supervise::Found{pid}});
+}
+
+void Hand::Remember(std::int64_t pid, bool child) {
+  running_ = {pid, supervise::StartedAt(static_cast<pid_t>(pid))};
+  child_ = child;
   try {
     store_.PutRunning(instance_, running_);
   } catch (const store::Error& e) {
     note_(instance_, e.what());
   }
   alive_.After(kAliveEach);
-  Step({supervise::Found{pid}});
 }
 
 std::string Hand::StateFolder() const {
@@ -157,16 +161,8 @@
     why = e.what();
   }
   if (pid == 0) return Step({supervise::CantSpawn{why}});
-  child_ = true;
-  running_ = {pid, supervise::StartedAt(pid)};
   relay_.Hang("started anew");
-  try {
-    store_.PutRunning(instance_, running_);
-  } catch (const store::Error& e) {
-    // Not on record, yet its lock and its control socket will speak for it.
-    note_(instance_, e.what());
-  }
-  alive_.After(kAliveEach);
+  Remember(pid, true);
   Step({supervise::Spawned{pid}});
 }
 
@@ -198,15 +194,12 @@
 }
 
 void Hand::Do(const supervise::Signal& signal) {
-  // Never to whoever has come by that pid since.
-  // And never to 0, which would be our whole process group.
+  // Never to whoever has come by that pid since, and never to 0, which would be our whole process group.
   const auto pid = static_cast<pid_t>(signal.pid);
   if (pid <= 0 || running_.started == 0) return;
   if (signal.pid == running_.pid && supervise::StartedAt(pid) == running_.started) kill(pid, signal.number);
 }
 
-void Hand::Reap() { CheckAlive(); }
-
 void Hand::CheckAlive() {
   if (running_.pid == 0) return;
   const auto pid = static_cast<pid_t>(running_.pid);
--- a/src/agent/hand.hpp
+++ b/src/agent/hand.hpp
@@ -25,7 +25,9 @@
  public:
   using Note = std::function<void(const std::string& instance, const std::string& text)>;
 
-  // Looks at once for a relay that runs already. `desired` must be in the store.
+  // Looks for a relay that runs already once the loop runs; nothing is thrown or ended here or by the
+  // destructor. `desired` must be in the store; loop and store must outlive it. `note` is called from the
+  // loop.
   Hand(net::Loop& loop, std::string instance, const Places& places, store::Store& store,
        const supervise::Desired& desired, Note note);
 
@@ -34,8 +36,8 @@
   void Order(supervise::Desired desired);
   std::optional<change::Belief> Tell() const { return keeper_.Tell(instance_, net::Loop::Now()); }
   const supervise::Keeper& keeper() const { return keeper_; }
-  // A child of ours may have ended.
-  void Reap();
+  // The process may have ended: a child of ours told so, or it is time to look.
+  void CheckAlive();
 
  private:
   void Step(std::vector<supervise::Event> events);
@@ -47,7 +49,8 @@
   void Do(const supervise::Note& note) { note_(instance_, note.text); }
   void LookAtSocket(std::int64_t holder);
   void Adopt(std::int64_t pid);
-  void CheckAlive();
+  // On record as far as the store takes it: lock and control socket speak for it too.
+  void Remember(std::int64_t pid, bool child);
   // Writes the configuration that the stamp names where the relay reads it. Throws.
   void WriteConfig(const std::string& stamp);
   std::string StateFolder() const;
--- a/src/apps/oxbowagent.cpp
+++ b/src/apps/oxbowagent.cpp
@@ -1,18 +1,18 @@
 // oxbowagent: keeps the relays of one host and takes part in the group's changes.
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <optional>
 
 #include "agent/agent.hpp"
+#include "apps/arguments.hpp"
 #include "journal/folder_lock.hpp"
 
 namespace {
 using namespace oxbowspread;
-constexpr int kBadInput = 2;
+using apps::kBadInput;
 constexpr int kFolderLocked = 3;
 }  // namespace
 
@@ -27,13 +27,7 @@
       ->check(CLI::Range(64, 1 << 20));
   app.add_flag("--json", options.json_log, "log one JSON object a line");
   app.set_version_flag("--version", std::string("oxbowagent " OXBOWSPREAD_VERSION));
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    if (e.get_exit_code() == 0) return app.exit(e);
-    std::cerr << "oxbowagent: " << e.what() << "\n";
-    return kBadInput;
-  }
+  if (const auto code = apps::Parse(app, "oxbowagent", argc, argv)) return *code;
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);
   try {
--- a/src/apps/oxbowctl.cpp
+++ b/src/apps/oxbowctl.cpp
@@ -3,10 +3,10 @@
 // Exit codes: 0 done; 1 refused, or a change that ended short of its aim; 2 bad input; 3 no agent in reach.
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
 
+#include "apps/arguments.hpp"
 #include "config/config.hpp"
 #include "ctl/client.hpp"
 #include "ctl/view.hpp"
@@ -18,7 +18,8 @@
 using namespace oxbowspread;
 using control::Json;
 
-constexpr int kRefused = 1, kBadInput = 2, kOutOfReach = 3;
+using apps::kBadInput;
+constexpr int kRefused = 1, kOutOfReach = 3;
 constexpr net::Time kPatience = 10s;  // for a leader to be found
 constexpr net::Time kAnswerWithin = 2s;
 
@@ -44,10 +45,9 @@
         client_(group_, options.as, options.socket) {}
 
   int Status() {
-    const net::Time until = net::Loop::Now() + std::chrono::duration_cast<net::Time>(
-                                                   std::chrono::duration<double>(options_.seconds));
+    const net::Time until = Until();
     while (true) {
-      const auto answers = client_.AskAll({{"op", "local"}}, kAnswerWithin);
+      const auto answers = Locals();
       const Json status = ctl::StatusOf(group_, answers, group_.limits.belief_age / 1ms);
       if (options_.json) {
         std::cout << status.dump() << std::endl;
@@ -71,7 +71,7 @@
   int Show() {
     if (group_.Find(options_.instance) == nullptr)
       throw group::Error("the group has no instance '" + options_.instance + "'");
-    const auto answers = client_.AskAll({{"op", "local"}}, kAnswerWithin);
+    const auto answers = Locals();
     for (const Json& one : ctl::StatusOf(group_, answers, group_.limits.belief_age / 1ms)) {
       if (control::TextOf(one, "instance") != options_.instance) continue;
       if (options_.json) {
@@ -155,22 +155,22 @@
   // All agents' histories by time; with --follow, what is new, until interrupted.
   int History() {
     std::map<std::string, std::int64_t> seen;
-    const net::Time until = net::Loop::Now() + std::chrono::duration_cast<net::Time>(
-                                                   std::chrono::duration<double>(options_.seconds));
+    const net::Time until = Until();
     for (bool first = true;; first = false) {
       Json all = Json::array();
       bool any = false;
-      for (const auto& [agent, answered] :
-           client_.AskAll({{"op", "history"}, {"most", 1000}}, kAnswerWithin)) {
+      for (const auto& [agent, answered] : client_.AskAll(
+               [&](const std::string& agent) {
+                 return Json{{"op", "history"}, {"most", 1000}, {"after", seen[agent]}};
+               },
+               kAnswerWithin)) {
         if (!answered.answer) {
           std::cerr << "oxbowctl: " << agent << ": " << answered.why << "\n";
           continue;
         }
         any = true;
         for (const Json& h : answered.answer->value("history", Json::array())) {
-          const std::int64_t number = control::NumberOf(h, "number");
-          if (number <= seen[agent]) continue;
-          seen[agent] = number;
+          seen[agent] = control::NumberOf(h, "number");
           all.push_back(h);
         }
       }
@@ -190,6 +190,14 @@
   }
 
  private:
+  std::map<std::string, ctl::Answered> Locals() {
+    return client_.AskAll([](const std::string&) { return Json{{"op", "local"}}; }, kAnswerWithin);
+  }
+  // Of --watch and --follow with --for; now if that isn't given, which then means for ever.
+  net::Time Until() const {
+    return net::Loop::Now() +
+           std::chrono::duration_cast<net::Time>(std::chrono::duration<double>(options_.seconds));
+  }
   bool Chosen(const std::string& name) const {
     const auto& named = options_.instances;
     return options_.all || std::find(named.begin(), named.end(), name) != named.end();
@@ -296,13 +304,7 @@
     c->add_option("name", o.name, "of the member")->required();
     c->add_option("--days", o.days, "good for so long")->capture_default_str();
   }
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    if (e.get_exit_code() == 0) return app.exit(e);
-    std::cerr << "oxbowctl: " << e.what() << "\n";
-    return kBadInput;
-  }
+  if (const auto code = apps::Parse(app, "oxbowctl", argc, argv)) return *code;
   std::signal(SIGPIPE, SIG_IGN);
   try {
     if (init->parsed()) return tls::MakeGroup(o.folder, o.name, o.days), 0;
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -1,7 +1,6 @@
 // oxbowspread: one relay. Wires the parts together and walks them through their phases.
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -14,6 +13,7 @@
 #include <sstream>
 
 #include "acquirer/acquirer.hpp"
+#include "apps/arguments.hpp"
 #include "config/config.hpp"
 #include "control/server.hpp"
 #include "issuer/issuer.hpp"
@@ -39,7 +39,7 @@
 constexpr net::Time kPausedLookEach = 100ms;
 
 // Exit codes. 1: something that can't work, by README's rule for the start.
-constexpr int kBadInput = 2;      // a wrong argument, or a file that --check-config finds fault with
+using apps::kBadInput;
 constexpr int kFolderLocked = 3;  // another process holds the state folder
 
 // What operators add on the command line; all of it is off by default.
@@ -324,13 +324,7 @@
   app.add_option("--stamp", options.stamp, "told again by the control socket's status");
   app.add_option("--check-config", check, "check this configuration file, start nothing");
   app.set_version_flag("--version", std::string("oxbowspread " OXBOWSPREAD_VERSION));
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    if (e.get_exit_code() == 0) return app.exit(e);
-    std::cerr << "oxbowspread: " << e.what() << "\n";
-    return kBadInput;
-  }
+  if (const auto code = apps::Parse(app, "oxbowspread", argc, argv)) return *code;
   if (!check.empty()) return CheckConfig(check);
   std::signal(SIGPIPE, SIG_IGN);
   net::Signal::HoldBack(SIGHUP);  // a reload asked for while the program starts
--- a/src/apps/oxbowstandin.cpp
+++ b/src/apps/oxbowstandin.cpp
@@ -1,9 +1,9 @@
 // oxbowstandin: the surroundings of a group of relays on loopback, for the demo and for measurements.
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 
+#include "apps/arguments.hpp"
 #include "standin/load.hpp"
 #include "standin/platform.hpp"
 #include "standin/site.hpp"
@@ -104,13 +104,7 @@
   play->add_option("--deadline", deadline_s, "seconds in which a message may be delivered")
       ->capture_default_str();
   play->add_option("--out", run.out, "write the result there");
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& e) {
-    if (e.get_exit_code() == 0) return app.exit(e);
-    std::cerr << "oxbowstandin: " << e.what() << "\n";
-    return 2;
-  }
+  if (const auto code = apps::Parse(app, "oxbowstandin", argc, argv)) return *code;
   std::signal(SIGPIPE, SIG_IGN);
   try {
     if (make->parsed()) {
@@ -128,6 +122,6 @@
     return Run(run);
   } catch (const std::exception& e) {
     std::cerr << "oxbowstandin: " << e.what() << "\n";
-    return 2;
+    return apps::kBadInput;
   }
 }
--- a/src/change/engine.cpp
+++ b/src/change/engine.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr Time kOrderAgain = std::chrono::seconds(2);  // while nothing shows that it was carried out
-constexpr Time kLook = std::chrono::milliseconds(200);
-constexpr Time kWindow = std::chrono::seconds(10);  // of which rate and shares are taken
+constexpr Time kWindow = std::chrono::seconds(10);     // of which rate and shares are taken
 
 std::string Percent(double share) {
   char text[32];
@@ -49,7 +48,6 @@
   if (changed_) actions.push_back(Keep{*record_});
   std::move(orders_.begin(), orders_.end(), std::back_inserter(actions));
   std::move(tells_.begin(), tells_.end(), std::back_inserter(actions));
-  if (record_ && !Over(record_->state)) actions.push_back(WakeAt{now.now + kLook});
   return actions;
 }
 
--- a/src/change/engine.hpp
+++ b/src/change/engine.hpp
@@ -55,16 +55,14 @@
 struct Tell {
   std::string instance, step, text;
 };  // for the log and the history; instance may be empty
-struct WakeAt {
-  Time at{0};
-};
-using Action = std::variant<Keep, Order, Tell, WakeAt>;
+using Action = std::variant<Keep, Order, Tell>;
 
 class Engine {
  public:
   Engine(std::vector<Member> members, Limits limits);
 
-  // Events in the order in which they happened; `now` never goes back.
+  // Events in the order in which they happened; `now` never goes back. To be called some times a second while
+  // a change is running, with no event too: time limits are looked at here only.
   std::vector<Action> Step(const Moment& now, const std::vector<Event>& events);
 
   // Why a change can't be begun at all; empty if it can.
--- a/src/change/record.cpp
+++ b/src/change/record.cpp
@@ -10,7 +10,7 @@
 constexpr std::array kStages = {"waiting", "pausing", "turning", "watching", "done", "undone", "failed"};
 constexpr std::array kStates = {"running", "held",    "aborting",    "rolling-back",
                                 "done",    "aborted", "rolled-back", "failed"};
-constexpr std::array kWants = {"serving", "paused", "stopped"};
+constexpr std::array kWants = {"serving", "paused"};
 constexpr std::array kPhases = {"down", "starting", "serving", "paused", "ending"};
 
 template <typename Enum, std::size_t N>
--- a/src/change/record.hpp
+++ b/src/change/record.hpp
@@ -126,7 +126,7 @@
 Json ToJson(const Belief& belief);  // without `at`, which is the reader's
 Belief BeliefFrom(const Json& json);
 
-enum class Want { kServing, kPaused, kStopped };
+enum class Want { kServing, kPaused };
 const char* NameOf(Want want);
 Want WantFrom(const std::string& name);  // throws std::runtime_error
 
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -27,11 +27,12 @@
   }
 }
 
-std::map<std::string, Answered> Client::AskAll(const control::Json& request, net::Time limit) {
+std::map<std::string, Answered> Client::AskAll(
+    const std::function<control::Json(const std::string& agent)>& request, net::Time limit) {
   std::map<std::string, Answered> all;
   std::size_t open = callers_.size();
   for (const auto& [name, caller] : callers_) {
-    caller->Call(request, limit, [&, n = name](const control::Json* answer, const std::string& why) {
+    caller->Call(request(name), limit, [&, n = name](const control::Json* answer, const std::string& why) {
       all[n] = {answer != nullptr ? std::optional(*answer) : std::nullopt, why};
       if (--open == 0) loop_.Stop();
     });
--- a/src/ctl/client.hpp
+++ b/src/ctl/client.hpp
@@ -1,6 +1,7 @@
 // The operators' side of the agents: asks one, all, or whoever leads, and waits for the answers.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,14 +33,18 @@
 
 class Client {
  public:
-  // By the group's keys as member `as`; or, where `socket` names one, only the agent that listens there.
+  // Connects to nobody yet. Throws group::Error where the group has no keys, std::runtime_error where they
+  // can't be used. By the group's keys as member `as`; or, where `socket` names one, only the agent that
+  // listens there.
   Client(const group::Group& group, const std::string& as, const std::string& socket);
 
-  // All at once, each within the limit; by the agent's name.
-  std::map<std::string, Answered> AskAll(const control::Json& request, net::Time limit);
+  // All at once, each within the limit, what `request` gives for it; by the agent's name ("agent" for the one
+  // at a socket). Runs the client's own loop until all have answered or failed; never throws for an agent.
+  std::map<std::string, Answered> AskAll(
+      const std::function<control::Json(const std::string& agent)>& request, net::Time limit);
   // Whoever leads, found by asking around, for up to `patience`. Throws OutOfReach or Refused.
   control::Json AskLeader(const control::Json& request, net::Time patience);
-  void Rest(net::Time span);
+  void Rest(net::Time span);  // microseconds, as all of net::Time
 
  private:
   Answered Ask(const std::string& agent, const control::Json& request, net::Time limit);
--- a/src/ctl/view.hpp
+++ b/src/ctl/view.hpp
@@ -1,4 +1,6 @@
-// What oxbowctl shows: tables for people, made from the agents' answers. No I/O.
+// What oxbowctl shows: tables for people, made from the agents' answers. No I/O but for reading the group
+// file, whose text the agents' is compared with. What an answer lacks is shown as "-"; nothing here throws
+// for it.
 #pragma once
 
 #include <map>
--- a/src/lead/lead.hpp
+++ b/src/lead/lead.hpp
@@ -102,6 +102,8 @@
   Lead(std::string self, std::vector<std::string> members, Timing timing, Durable durable,
        std::uint64_t dice);
 
+  // `now` never goes back. To be called again at wake_at() at the latest. Messages of who is no member are
+  // passed over. Never fails.
   std::vector<Action> Step(Time now, const std::vector<Event>& events);
   Time wake_at() const { return wake_at_; }
 
--- a/src/standin/ledger.hpp
+++ b/src/standin/ledger.hpp
@@ -27,6 +27,7 @@
   std::vector<double> accept_ms, deliver_ms;  // of taken and delivered, from when the message was due
 };
 
+// The value below which that share (0 to 1) lies; 0 of none. Milliseconds in, milliseconds out.
 double Percentile(std::vector<double> values, double share);
 
 class Ledger {
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -14,6 +14,7 @@
 
 namespace oxbowspread::standin {
 
+// Spans in microseconds, sizes in bytes.
 struct LoadOptions {
   std::vector<std::string> relays;  // address:port
   double rate = 200;                // messages a second
@@ -26,6 +27,7 @@
 
 class Load {
  public:
+  // Loop and ledger must outlive it. Throws std::bad_optional_access where a relay's address is none.
   Load(net::Loop& loop, Ledger& ledger, const LoadOptions& options);
   ~Load();
   Load(const Load&) = delete;
--- a/src/standin/platform.hpp
+++ b/src/standin/platform.hpp
@@ -42,6 +42,7 @@
   std::unique_ptr<net::Listener> listener_;
 };
 
+// Spans in microseconds; port 0: any.
 struct PlatformOptions {
   int discovery_port = 0;
   int hosts = 4;  // half in each of two rooms, all of destination 7
@@ -52,6 +53,7 @@
 
 class Platform {
  public:
+  // Loop and ledger must outlive it. Throws std::system_error where a port can't be had.
   Platform(net::Loop& loop, Ledger& ledger, const PlatformOptions& options);
   int discovery_port() const { return discovery_.port(); }
   // While true the hosts answer 503 to everything.
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -8,24 +8,10 @@
 #include <filesystem>
 #include <fstream>
 
+#include "standin/settings.hpp"
 #include "tls/keys.hpp"
 
 namespace oxbowspread::standin {
-namespace {
-
-// One partner in two rooms, and one class whose repeats are dropped by key.
-const char kSettings[] = R"({"balancers":1,"rank":0,"discovery":"ask","tick-s":0.005,"weights":"rough",
-  "zones":["north-room","east-room"],"models":["partner"],
-  "services":[{"name":"outbound","semantics":"deduplicated","key-scope":"zone","goal-time-s":3,
-    "deadline-s":16,"repeat-window-s":10,"worth":1,"late-value":0.5}],
-  "family-info":{"calls-out":64,"kind-apart":[true],"bundle-max":[1],"decay":"by_half","carriage":[0,0]},
-  "limits":{"cancel":true,"send-cap":12,"max-open":2000,"retry-after":true,"max-retry-after-s":2,
-    "connect-timeout-s":1.5,"keepalive-s":15},
-  "invariants":{"ask-within-s":10,"cold-from":0.23,"cold-s":13,"drain-grace-s":0.25,"fall-multiple":2,
-    "grace-to-answer-s":0.02,"tip-after-s":3}})";
-
-}  // namespace
-
 // Bound for as long as this process lives, or until many later ones were asked for: no connection is given it
 // as its own port meanwhile, and whoever listens there with SO_REUSEADDR, as all of ours do, still may.
 int FreePort() {
@@ -49,13 +35,16 @@
 }
 
 nlohmann::json RelayConfig(const std::string& name, const std::string& listen, int discovery_port) {
+  nlohmann::json settings = nlohmann::json::parse(kSettings);
+  settings["family-info"]["calls-out"] = 64;  // room for a load
+  settings["limits"]["max-open"] = 2000;
   return {{"name", name},
           {"listen", listen},
           {"discovery", "127.0.0.1:" + std::to_string(discovery_port)},
           {"state", ""},
           {"seed", "8c1f30d27a5be964"},
           {"limits", {{"memory_mb", 192}, {"sockets", 512}, {"disk_mb", 3}}},
-          {"settings", nlohmann::json::parse(kSettings)}};
+          {"settings", settings}};
 }
 
 Site MakeSite(const SiteOptions& options) {
--- a/src/supervise/keeper.cpp
+++ b/src/supervise/keeper.cpp
@@ -171,7 +171,6 @@
       }
       return wake(looked_at_ + kLookEach);
     case Life::kDown:
-      if (desired_.want == Want::kStopped) return;
       if (now < next_try_) return wake(next_try_);
       life_ = Life::kStarting;
       adopted_ = false;
@@ -209,7 +208,6 @@
 
 void Keeper::PursueUp(Time now, std::vector<Action>* actions) {
   if (!status_) return;
-  if (desired_.want == Want::kStopped) return StopIt(now, actions, "stopped by order");
   if (!desired_.stamp.empty() && status_->stamp != desired_.stamp) {
     if (!desired_.reload) return StopIt(now, actions, "restarted by order " + desired_.stamp);
     if (reload_refused_ != desired_.stamp && now >= ask_at_) {
--- a/src/supervise/keeper.hpp
+++ b/src/supervise/keeper.hpp
@@ -83,6 +83,8 @@
 
   explicit Keeper(Desired desired) : desired_(std::move(desired)) {}
 
+  // Events in the order in which they happened; actions to be carried out in order. Never fails: what goes
+  // wrong comes as an event. To be called again at wake_at() at the latest, Time::max() meaning never.
   std::vector<Action> Step(Time now, const std::vector<Event>& events);
   Time wake_at() const { return wake_at_; }
 
