Take host book, YAML reader, SQLite file and client line out as parts of their own

The lab needs what the issuer side knows of hosts (drains, waits, addresses that pass on), YAML with faults by line, a SQLite file and a client's connection; each stood inside another part. issuer::Hosts is without I/O; who shares an address is found by an index, where each host told had looked at all others.

--- a/src/group/group.cpp
+++ b/src/group/group.cpp
@@ -13,79 +13,14 @@
 #include <sstream>
 
 #include "net/connection.hpp"
+#include "yaml/reader.hpp"
 
 namespace oxbowspread::group {
 namespace {
 
-// One file as it is read: knows how to name a fault.
-class Reader {
+class Reader : public yaml::Reader {
  public:
-  explicit Reader(std::string path) : path_(std::move(path)) {}
-
-  [[noreturn]] void Fail(const YAML::Mark& mark, const std::string& key, const std::string& what) const {
-    const std::string line = mark.line >= 0 ? ":" + std::to_string(mark.line + 1) : "";
-    throw Error(path_ + line + ": " + key + ": " + what);
-  }
-
-  void Only(const YAML::Node& map, const std::string& where, const std::set<std::string>& keys) const {
-    if (!map.IsMap()) Fail(map.Mark(), where, "must be a mapping");
-    std::set<std::string> seen;
-    for (const auto& pair : map) {
-      const std::string key = pair.first.IsScalar() ? pair.first.Scalar() : "?";
-      if (keys.count(key) == 0)
-        Fail(pair.first.Mark(), where.empty() ? key : where + "." + key, "is not a known key");
-      if (!seen.insert(key).second) Fail(pair.first.Mark(), key, "stands twice");
-    }
-  }
-
-  std::string Text(const YAML::Node& map, const char* key, const std::string& where, bool needed) const {
-    const YAML::Node node = map[key];
-    if (!node) {
-      if (needed) Fail(map.Mark(), where + key, "is missing");
-      return {};
-    }
-    if (!node.IsScalar() || node.Scalar().empty()) Fail(node.Mark(), where + key, "must be a text");
-    return node.Scalar();
-  }
-
-  double Number(const YAML::Node& map, const char* key, const std::string& where, double least, double most,
-                double absent) const {
-    const YAML::Node node = map[key];
-    if (!node) return absent;
-    double value = NAN;
-    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) ||
-        !(value >= least && value <= most)) {
-      std::ostringstream range;
-      range << "must be a number from " << least << " to " << most;
-      Fail(node.Mark(), where + key, range.str());
-    }
-    return value;
-  }
-  int Whole(const YAML::Node& map, const char* key, const std::string& where, int least, int most,
-            int absent) const {
-    const double value = Number(map, key, where, least, most, absent);
-    if (value != std::floor(value)) Fail(map[key].Mark(), where + key, "must be a whole number");
-    return static_cast<int>(value);
-  }
-  // "250ms", "20s", "3m"
-  change::Time Span(const YAML::Node& map, const char* key, change::Time absent) const {
-    const YAML::Node node = map[key];
-    if (!node) return absent;
-    const std::string text = node.IsScalar() ? node.Scalar() : "";
-    std::size_t end = 0;
-    double value = -1;
-    try {
-      value = std::stod(text, &end);
-    } catch (const std::exception&) {
-    }
-    const std::string unit = text.substr(std::min(end, text.size()));
-    const double factor = unit == "ms" ? 1e3 : unit == "s" ? 1e6 : unit == "m" ? 6e7 : 0;
-    if (!(value >= 0) || factor == 0 || value * factor > 8.64e10) {
-      Fail(node.Mark(), std::string("limits.") + key,
-           "must be a span such as 250ms, 20s or 3m, not '" + text + "'");
-    }
-    return change::Time(static_cast<change::Time::rep>(value * factor));
-  }
+  using yaml::Reader::Reader;
 
   int MinuteOfDay(const YAML::Node& map, const char* key) const {
     const std::string text = Text(map, key, "freeze.", true);
@@ -129,11 +64,11 @@
     l.most_out = Whole(node, "most_out", "limits.", 1, 1000, l.most_out);
     l.batch = Whole(node, "batch", "limits.", 1, 1000, l.batch);
     l.headroom = Number(node, "headroom", "limits.", 0.01, 1, l.headroom);
-    l.belief_age = Span(node, "belief_age", l.belief_age);
-    l.observe_for = Span(node, "observe_for", l.observe_for);
-    l.settle_within = Span(node, "settle_within", l.settle_within);
-    l.ready_within = Span(node, "ready_within", l.ready_within);
-    l.watch_for = Span(node, "watch_for", l.watch_for);
+    l.belief_age = Span(node, "belief_age", "limits.", l.belief_age);
+    l.observe_for = Span(node, "observe_for", "limits.", l.observe_for);
+    l.settle_within = Span(node, "settle_within", "limits.", l.settle_within);
+    l.ready_within = Span(node, "ready_within", "limits.", l.ready_within);
+    l.watch_for = Span(node, "watch_for", "limits.", l.watch_for);
     l.refused_rise = Number(node, "refused_rise", "limits.", 0, 1, l.refused_rise);
     l.failed_rise = Number(node, "failed_rise", "limits.", 0, 1, l.failed_rise);
     l.least_sample = Whole(node, "least_sample", "limits.", 1, 1'000'000, l.least_sample);
@@ -155,11 +90,6 @@
            "must be up to 40 letters, digits, '-', '_' and '.', and not 'group'");
     return name;
   }
-
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
 };
 
 std::string Beside(const std::string& file, const std::string& path) {
@@ -206,12 +136,7 @@
 
 Group Read(const std::string& path) {
   const Reader r(path);
-  YAML::Node root;
-  try {
-    root = YAML::Load(ReadFile(path));
-  } catch (const YAML::ParserException& e) {
-    r.Fail(e.mark, "YAML", e.msg);
-  }
+  const YAML::Node root = r.Load();
   Group g;
   g.path = path;
   r.Only(root, "", {"group", "keys", "agents", "instances", "limits", "freeze"});
--- a/src/group/group.hpp
+++ b/src/group/group.hpp
@@ -2,19 +2,15 @@
 // be changed. Read and checked in one place; every fault names file, line and key.
 #pragma once
 
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "change/record.hpp"
+#include "yaml/reader.hpp"
 
 namespace oxbowspread::group {
 
-// "FILE:LINE: KEY: what is wrong"
-class Error : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using Error = yaml::Error;
 
 struct Agent {
   std::string name;
--- /dev/null
+++ b/src/issuer/hosts.cpp
@@ -0,0 +1,123 @@
+#include "issuer/hosts.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace oxbowspread::issuer {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr net::Time kForgetAfter = 5s;  // a host that left the list
+// A call on its way when a drain or a wait is told may still be written for so long; the platform lets 250
+// and 100 ms pass, of which the way there takes a part.
+constexpr net::Time kDrainSlack = 100ms;
+constexpr net::Time kWaitSlack = 40ms;
+
+}  // namespace
+
+std::vector<std::string> Hosts::Adopt(const relay::RoutingChange& change, net::Time now) {
+  std::vector<std::string> close;
+  if (change.scope == wheathub::ListScope::kFailed) return close;
+  if (change.scope != wheathub::ListScope::kChanges) {
+    std::set<std::string_view> named;
+    for (const relay::Host& host : change.hosts) named.insert(host.info.id);
+    for (auto& [id, host] : hosts_) {
+      if (named.count(id) > 0) continue;
+      if (std::exchange(host.ready, false)) host.unready_since = now;
+      Gone(id, host, true);
+    }
+  }
+  for (const relay::Host& host : change.hosts) Adopt(host, now, &close);
+  return close;
+}
+
+void Hosts::Adopt(const relay::Host& news, net::Time now, std::vector<std::string>* close) {
+  const std::string& id = news.info.id;
+  Host& host = hosts_[id];
+  const bool ready = news.info.lifecycle == wheathub::Lifecycle::kUp;
+  if (host.ready && !ready) host.unready_since = now;
+  host.ready = ready;
+  Gone(id, host, news.info.lifecycle == wheathub::Lifecycle::kRemoved);
+  host.zone = news.info.zone;
+  if (!news.address.empty() && news.address != host.address) {
+    close->push_back(id);
+    Move(id, host, news.address);
+  }
+  host.known = net::ParseAddress(host.address).has_value();
+  TakeAddress(id, host, close);
+  if (!ready) close->push_back(id);
+}
+
+void Hosts::Move(const std::string& id, Host& host, const std::string& address) {
+  if (const auto it = at_address_.find(host.address); it != at_address_.end()) {
+    it->second.erase(id);
+    if (it->second.empty()) at_address_.erase(it);
+  }
+  host.address = address;
+  at_address_[address].insert(id);
+  if (const auto to = net::ParseAddress(address)) host.to = *to;
+}
+
+void Hosts::Gone(const std::string& id, Host& host, bool gone) {
+  host.gone = gone;
+  if (gone) {
+    gone_.insert(id);
+  } else {
+    gone_.erase(id);
+  }
+}
+
+// A host that has gone may still be listed when another stands at its address: what is sent there for the old
+// one would reach the new one.
+void Hosts::TakeAddress(const std::string& id, Host& host, std::vector<std::string>* close) {
+  const auto there = at_address_.find(host.address);
+  if (there == at_address_.end()) return;
+  for (const std::string& other_id : there->second) {
+    if (other_id == id) continue;
+    Host& other = hosts_.at(other_id);
+    if (!host.ready && !other.ready) continue;
+    (host.ready ? other : host).known = false;
+    close->push_back(host.ready ? other_id : id);
+  }
+}
+
+const Host* Hosts::Find(const std::string& id) const {
+  const auto it = hosts_.find(id);
+  return it == hosts_.end() ? nullptr : &it->second;
+}
+
+void Hosts::ToldWait(const std::string& id, net::Time wait, net::Time now) {
+  const auto it = hosts_.find(id);
+  if (it == hosts_.end()) return;
+  it->second.told_at = now;
+  it->second.wait_until = std::max(it->second.wait_until, now + wait);
+}
+
+bool Hosts::MayWrite(const Host& host, net::Time write_before, net::Time now) {
+  if (!host.known) return false;
+  if (!host.ready && now > host.unready_since + kDrainSlack) return false;
+  if (now < host.wait_until && now > host.told_at + kWaitSlack) return false;
+  return now < write_before;
+}
+
+std::vector<std::string> Hosts::LongGone(net::Time now) const {
+  std::vector<std::string> all;
+  for (const std::string& id : gone_) {
+    if (now - hosts_.at(id).unready_since > kForgetAfter) all.push_back(id);
+  }
+  return all;
+}
+
+void Hosts::Forget(const std::string& id) {
+  const auto it = hosts_.find(id);
+  if (it == hosts_.end()) return;
+  if (const auto there = at_address_.find(it->second.address); there != at_address_.end()) {
+    there->second.erase(id);
+    if (there->second.empty()) at_address_.erase(there);
+  }
+  gone_.erase(id);
+  hosts_.erase(it);
+}
+
+}  // namespace oxbowspread::issuer
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -10,17 +10,17 @@
 using namespace std::chrono_literals;
 
 constexpr net::Time kSweepEach = 200ms;
-constexpr net::Time kForgetAfter = 5s;  // a host that left the list
 // A host closes an idle line at its keepalive at the latest, and what is written to it from then on is a
 // reset that may have run: lines are retired while the host surely still holds them.
 constexpr double kKeepShare = 0.8;
 // What follows an answer that brought more than belongs to it may come a moment later, and must not be taken
 // for the answer to the next call.
 constexpr net::Time kRest = 30ms;
-// A call on its way when a drain or a wait is told may still be written for so long; the platform lets 250
-// and 100 ms pass, of which the way there takes a part.
-constexpr net::Time kDrainSlack = 100ms;
-constexpr net::Time kWaitSlack = 40ms;
+
+bool StandsAt(const Line& line, const Host& host) {
+  return line.address().sin_addr.s_addr == host.to.sin_addr.s_addr &&
+         line.address().sin_port == host.to.sin_port;
+}
 
 }  // namespace
 
@@ -41,58 +41,17 @@
 // ---- hosts ----
 
 void Issuer::Adopt(const relay::RoutingChange& change) {
-  if (change.scope == wheathub::ListScope::kFailed) return;
-  if (change.scope != wheathub::ListScope::kChanges) {
-    std::map<std::string, bool> named;
-    for (const relay::Host& host : change.hosts) named[host.info.id] = true;
-    for (auto& [id, host] : hosts_) {
-      if (named.count(id) > 0) continue;
-      if (std::exchange(host.ready, false)) host.unready_since = net::Loop::Now();
-      host.gone = true;
-    }
-  }
-  for (const relay::Host& host : change.hosts) Adopt(host);
-}
-
-void Issuer::Adopt(const relay::Host& news) {
-  Host& host = hosts_[news.info.id];
-  const bool ready = news.info.lifecycle == wheathub::Lifecycle::kUp;
-  if (host.ready && !ready) host.unready_since = net::Loop::Now();
-  host.ready = ready;
-  host.gone = news.info.lifecycle == wheathub::Lifecycle::kRemoved;
-  host.zone = news.info.zone;
-  if (!news.address.empty() && news.address != host.address) {
-    CloseIdle(host);
-    host.address = news.address;
-    const auto to = net::ParseAddress(news.address);
-    if (to) host.to = *to;
-  }
-  host.known = net::ParseAddress(host.address).has_value();
-  TakeAddress(news.info.id, host);
-  if (!ready) CloseIdle(host);
-}
-
-// A host that has gone may still be listed when another stands at its address: what is sent there for the old
-// one would reach the new one.
-void Issuer::TakeAddress(const std::string& id, Host& host) {
-  for (auto& [other_id, other] : hosts_) {
-    if (other_id == id || other.address != host.address) continue;
-    Host& loser = host.ready ? other : host;
-    if (!host.ready && !other.ready) continue;
-    loser.known = false;
-    CloseIdle(loser);
-  }
-}
-
-void Issuer::CloseIdle(Host& host) {
-  for (std::size_t i = host.lines.size(); i-- > 0;) {
-    if (!host.lines[i]->busy()) Remove(host, *host.lines[i]);
-  }
+  for (const std::string& id : hosts_.Adopt(change, net::Loop::Now())) CloseIdle(id);
 }
 
 void Issuer::CloseIdle(const std::string& id) {
-  const auto it = hosts_.find(id);
-  if (it != hosts_.end()) CloseIdle(it->second);
+  const auto it = pools_.find(id);
+  if (it == pools_.end()) return;
+  std::vector<Line*> idle;
+  for (const auto& line : it->second) {
+    if (!line->busy()) idle.push_back(line.get());
+  }
+  for (Line* const line : idle) Remove(*line);
 }
 
 // ---- calls ----
@@ -103,24 +62,24 @@
 }
 
 void Issuer::Begin(relay::LegOrder order) {
-  const auto it = hosts_.find(order.host);
-  if (it == hosts_.end() || !it->second.known) return Fail(order, Outcome::kNoConnection);
-  Host& host = it->second;
-  Line* line = FreeLine(host);
+  const Host* const host = hosts_.Find(order.host);
+  if (host == nullptr || !host->known) return Fail(order, Outcome::kNoConnection);
+  const auto pool = pools_.find(order.host);
+  Line* line = pool == pools_.end() ? nullptr : FreeLine(pool->second);
   const bool fresh = line == nullptr;
-  if (fresh) line = NewLine(order.host, host);
+  if (fresh) line = NewLine(order.host, *host);
   if (line == nullptr) return Fail(order, Outcome::kNotSent);
   out_[order.leg] = line;
-  if (fresh) connecting_.emplace(net::Loop::Now() + limits_.connect_timeout, std::pair(order.host, line));
+  if (fresh) connecting_.emplace(net::Loop::Now() + limits_.connect_timeout, line);
   line->Carry(std::move(order));
 }
 
 // The line used last, so that those not needed grow old and go.
-Line* Issuer::FreeLine(Host& host) {
+Line* Issuer::FreeLine(const Lines& lines) const {
   Line* best = nullptr;
   const net::Time now = net::Loop::Now();
-  for (std::size_t i = host.lines.size(); i-- > 0;) {
-    Line& line = *host.lines[i];
+  for (std::size_t i = lines.size(); i-- > 0;) {
+    Line& line = *lines[i];
     if (line.busy() || !line.connected()) continue;
     if (!line.ready()) {
       // An answer's tail may still be on its way; an ended line is told by the loop, and left alone here.
@@ -135,7 +94,7 @@
   return best;
 }
 
-Line* Issuer::NewLine(const std::string& id, Host& host) {
+Line* Issuer::NewLine(const std::string& id, const Host& host) {
   // One gives way, not all: each that is opened anew costs its host a handshake.
   if (lines_ >= limits_.most_lines && !CloseLongestIdle()) return nullptr;
   auto line = std::make_unique<Line>(loop_, static_cast<Line::Owner&>(*this), id, host.to);
@@ -145,38 +104,32 @@
   }
   counters_.lines_opened += 1;
   lines_ += 1;
-  host.lines.push_back(std::move(line));
-  return host.lines.back().get();
+  Lines& lines = pools_[id];
+  lines.push_back(std::move(line));
+  return lines.back().get();
 }
 
 bool Issuer::CloseLongestIdle() {
-  Host* where = nullptr;
   Line* longest = nullptr;
-  for (auto& [id, host] : hosts_) {
-    for (const auto& line : host.lines) {
+  for (const auto& [id, lines] : pools_) {
+    for (const auto& line : lines) {
       if (line->busy() || (longest != nullptr && line->free_since() >= longest->free_since())) continue;
-      where = &host;
       longest = line.get();
     }
   }
   if (longest == nullptr) return false;
   counters_.lines_evicted += 1;
-  Remove(*where, *longest);
+  Remove(*longest);
   return true;
 }
 
-bool Issuer::MayWrite(const Host& host, const relay::LegOrder& order, net::Time now) const {
-  if (!host.known) return false;
-  if (!host.ready && now > host.unready_since + kDrainSlack) return false;
-  if (now < host.wait_until && now > host.told_at + kWaitSlack) return false;
-  return now < order.write_before;
-}
-
 std::optional<std::string> Issuer::OnWritable(Line& line) {
   const relay::LegOrder& order = line.order();
-  Host& host = hosts_.at(line.host());
+  const Host* const host = hosts_.Find(line.host());
   const net::Time now = net::Loop::Now();
-  if (!MayWrite(host, order, now) || !relay_->LegWriting(order.leg, line.host(), host.zone)) {
+  // The host may have moved while the line was on its way to where it stood.
+  if (host == nullptr || !StandsAt(line, *host) || !Hosts::MayWrite(*host, order.write_before, now) ||
+      !relay_->LegWriting(order.leg, line.host(), host->zone)) {
     counters_.legs_held_back += 1;
     return std::nullopt;
   }
@@ -188,23 +141,17 @@
   if (it == out_.end()) return;
   const relay::LegId leg = it->first;
   out_.erase(it);
-  if (end.told_wait > 0s) {
-    Host& host = hosts_.at(line.host());
-    host.told_at = net::Loop::Now();
-    host.wait_until = std::max(host.wait_until, host.told_at + end.told_wait);
-  }
+  if (end.told_wait > 0s) hosts_.ToldWait(line.host(), end.told_wait, net::Loop::Now());
   if (end.outcome == Outcome::kNoConnection) counters_.line_failures += 1;
   relay_->LegEnded(leg, end);
 }
 
 void Issuer::OnFree(Line& line) {
-  Host& host = hosts_.at(line.host());
-  const bool moved = line.address().sin_addr.s_addr != host.to.sin_addr.s_addr ||
-                     line.address().sin_port != host.to.sin_port;
-  if (!host.ready || !host.known || moved) Remove(host, line);
+  const Host* const host = hosts_.Find(line.host());
+  if (host == nullptr || !host->ready || !host->known || !StandsAt(line, *host)) Remove(line);
 }
 
-void Issuer::OnLost(Line& line) { Remove(hosts_.at(line.host()), line); }
+void Issuer::OnLost(Line& line) { Remove(line); }
 
 void Issuer::Cut(const relay::LegId& leg) {
   std::erase_if(failed_, [&](const auto& f) { return f.first == leg; });
@@ -212,17 +159,20 @@
   if (it == out_.end()) return;
   Line& line = *it->second;
   out_.erase(it);
-  Remove(hosts_.at(line.host()), line);
+  Remove(line);
 }
 
-void Issuer::Remove(Host& host, Line& line) {
+void Issuer::Remove(Line& line) {
   line.Cut();
-  const auto it =
-      std::find_if(host.lines.begin(), host.lines.end(), [&](const auto& l) { return l.get() == &line; });
-  if (it == host.lines.end()) return;
-  std::erase_if(connecting_, [&](const auto& c) { return c.second.second == &line; });
+  const auto pool = pools_.find(line.host());
+  if (pool == pools_.end()) return;
+  Lines& lines = pool->second;
+  const auto it = std::find_if(lines.begin(), lines.end(), [&](const auto& l) { return l.get() == &line; });
+  if (it == lines.end()) return;
+  std::erase_if(connecting_, [&](const auto& c) { return c.second == &line; });
   loop_.Dispose(std::move(*it));
-  host.lines.erase(it);
+  lines.erase(it);
+  if (lines.empty()) pools_.erase(pool);
   lines_ -= 1;
 }
 
@@ -230,28 +180,28 @@
   sweep_timer_.After(kSweepEach);
   const net::Time now = net::Loop::Now();
   while (limits_.connect_timeout > 0s && !connecting_.empty() && connecting_.begin()->first <= now) {
-    const auto [id, line] = connecting_.begin()->second;
+    Line* const line = connecting_.begin()->second;
     connecting_.erase(connecting_.begin());
     if (line->connected()) continue;
     OnEnd(*line, {Outcome::kNoConnection, false, net::Time(0)});
-    Remove(hosts_.at(id), *line);
+    Remove(*line);
+  }
+  for (const std::string& id : hosts_.LongGone(now)) {
+    if (pools_.count(id) == 0) hosts_.Forget(id);
   }
-  std::erase_if(hosts_, [&](const auto& entry) {
-    const Host& host = entry.second;
-    return host.gone && host.lines.empty() && now - host.unready_since > kForgetAfter;
-  });
   if (limits_.keepalive <= 0s) return;
   const auto keep =
       net::Time(static_cast<net::Time::rep>(static_cast<double>(limits_.keepalive.count()) * kKeepShare));
-  for (auto& [id, host] : hosts_) {
-    for (std::size_t i = host.lines.size(); i-- > 0;) {
-      Line& line = *host.lines[i];
-      if (!line.busy() && line.connected() && now - line.free_since() > keep) {
-        counters_.lines_idled += 1;
-        Remove(host, line);
-      }
+  std::vector<Line*> old;
+  for (const auto& [id, lines] : pools_) {
+    for (const auto& line : lines) {
+      if (!line->busy() && line->connected() && now - line->free_since() > keep) old.push_back(line.get());
     }
   }
+  for (Line* const line : old) {
+    counters_.lines_idled += 1;
+    Remove(*line);
+  }
 }
 
 }  // namespace oxbowspread::issuer
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "issuer/hosts.hpp"
 #include "issuer/line.hpp"
 #include "net/loop.hpp"
 #include "relay/counters.hpp"
@@ -33,16 +34,7 @@
   void CloseIdle(const std::string& host) override;
 
  private:
-  struct Host {
-    std::string address;
-    net::Address to{};
-    bool known = false;  // the address can be read, and no other host has taken it over
-    int zone = 0;
-    bool ready = false, gone = false;
-    net::Time unready_since{0};
-    net::Time told_at{0}, wait_until{0};
-    std::vector<std::unique_ptr<Line>> lines;
-  };
+  using Lines = std::vector<std::unique_ptr<Line>>;
 
   std::optional<std::string> OnWritable(Line& line) override;
   void OnEnd(Line& line, const relay::LegEnd& end) override;
@@ -50,14 +42,10 @@
   void OnLost(Line& line) override;
   void OnSpoilt() override { counters_.answers_spoilt += 1; }
 
-  void Adopt(const relay::Host& host);
-  bool MayWrite(const Host& host, const relay::LegOrder& order, net::Time now) const;
-  Line* FreeLine(Host& host);
-  Line* NewLine(const std::string& id, Host& host);
+  Line* FreeLine(const Lines& lines) const;
+  Line* NewLine(const std::string& id, const Host& host);
   bool CloseLongestIdle();
-  void TakeAddress(const std::string& id, Host& host);
-  void CloseIdle(Host& host);
-  void Remove(Host& host, Line& line);
+  void Remove(Line& line);
   void Fail(const relay::LegOrder& order, wheathub::Outcome outcome);
   void Sweep();
 
@@ -65,9 +53,10 @@
   Limits limits_;
   relay::Counters& counters_;
   relay::Relay* relay_ = nullptr;
-  std::map<std::string, Host> hosts_;
+  Hosts hosts_;
+  std::map<std::string, Lines> pools_;  // by host; none is empty
   std::map<relay::LegId, Line*> out_;
-  std::multimap<net::Time, std::pair<std::string, Line*>> connecting_;
+  std::multimap<net::Time, Line*> connecting_;
   std::size_t lines_ = 0;
   std::vector<std::pair<relay::LegId, wheathub::Outcome>> failed_;
   net::Timer failed_timer_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -208,7 +208,9 @@
 
 void Relay::Do(const wheathub::SetTimer& timer) { timers_.emplace(timer.at, timer.token); }
 
-void Relay::Do(const wheathub::Log& log) { std::cout << "module: " << log.text << std::endl; }
+void Relay::Do(const wheathub::Log& log) {
+  (sides_.log != nullptr ? *sides_.log : std::cout) << "module: " << log.text << std::endl;
+}
 
 // Probes are calls that no client handed in, which the platform doesn't take; the settings never allow them.
 void Relay::Do(const wheathub::Probe& probe) {
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <set>
 #include <string>
@@ -22,6 +23,7 @@
     IssuerSide& issuer;
     RoutingTable& routing;
     Notices& notices;
+    std::ostream* log = nullptr;  // what the module says, a line each; none: standard output
   };
 
   Relay(wheathub::Settings settings, std::uint64_t seed, journal::Journal& journal, const Sides& sides,
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <optional>
 #include <utility>
 
 namespace oxbowspread::standin {
@@ -13,78 +12,6 @@
 constexpr net::Time kTick = 2ms;
 }  // namespace
 
-// A connection to one relay; carries one request at a time.
-class Load::Line final : public net::Connection::User {
- public:
-  Line(Load& load, std::size_t to)
-      : relay(to),
-        load_(load),
-        connection_(net::Connection::Open(load.loop_, load.addresses_[to], *this)),
-        late_(load.loop_, [this] { Break(); }) {
-    late_.After(load.options_.answer_within);
-  }
-  bool free() const { return !asking_ && !gone_; }
-  bool opened() const { return connection_ != nullptr; }
-  void Ask(const Try& t) {
-    asking_ = t;
-    late_.After(load_.options_.answer_within);
-    if (connection_->connected()) Write();
-  }
-  void Close() {
-    gone_ = true;
-    late_.Stop();
-    if (connection_) connection_->Close();
-  }
-
-  const std::size_t relay;
-
- private:
-  void Write() { connection_->Send(load_.Command(*asking_)); }
-  void OnConnected() override {
-    was_connected_ = true;
-    late_.Stop();
-    if (!asking_) return;
-    late_.After(load_.options_.answer_within);
-    Write();
-  }
-  void OnBytes(proto::RingBuffer& in) override {
-    while (!in.empty()) {
-      text_ += in.Front();
-      in.Consume(in.Front().size());
-    }
-    const std::size_t end = text_.find("\r\n");
-    if (end == text_.npos || !asking_) return;
-    const std::string answer = text_.substr(0, end);
-    text_.clear();
-    late_.Stop();
-    answered_before_ = true;
-    const Try t = *std::exchange(asking_, std::nullopt);
-    load_.Answered(*this, t, answer);
-  }
-  void OnClosed() override {
-    if (!was_connected_) load_.Refuses(relay);
-    Break(true);
-  }
-  void Break(bool closed = false) {
-    if (gone_) return;
-    const auto t = std::exchange(asking_, std::nullopt);
-    // A relay may close a connection between two requests, which may cross one that it has not read.
-    const bool crossed = closed && answered_before_ && t && !t->repeated;
-    if (t) {
-      load_.Broken(*this, *t, !was_connected_ || crossed);
-    } else {
-      load_.Drop(*this);
-    }
-  }
-
-  Load& load_;
-  std::unique_ptr<net::Connection> connection_;
-  net::Timer late_;
-  std::optional<Try> asking_;
-  std::string text_;
-  bool was_connected_ = false, answered_before_ = false, gone_ = false;
-};
-
 Load::Load(net::Loop& loop, Ledger& ledger, const LoadOptions& options)
     : loop_(loop),
       ledger_(ledger),
@@ -139,14 +66,16 @@
     relay = next_relay_++ % addresses_.size();
     if (passed_over_until_[relay] <= now) break;
   }
-  for (const auto& [line, owned] : lines_) {
-    if (line->relay == relay && line->free()) return line->Ask(t);
+  for (auto& [line, seat] : lines_) {
+    if (seat.relay != relay || !line->free()) continue;
+    seat.asking = t;
+    return line->Ask(Command(t));
   }
-  auto line = std::make_unique<Line>(*this, relay);
+  auto line = std::make_unique<ClientLine>(loop_, *this, addresses_[relay], options_.answer_within);
   if (!line->opened()) return Again(t, 50ms, Ledger::End::kUnanswered);
-  Line* const opened = line.get();
-  lines_.emplace(opened, std::move(line));
-  opened->Ask(t);
+  ClientLine* const opened = line.get();
+  lines_[opened] = {std::move(line), relay, t};
+  opened->Ask(Command(t));
 }
 
 std::string Load::Command(const Try& t) const {
@@ -154,15 +83,11 @@
   const std::string values = "c=outbound,d=" + std::to_string(ms) + ",k=" + Ledger::KeyOf(t.message) +
                              ",dest=7" + (t.number > 1 ? ",again=1" : "");
   const std::string body(options_.body, 'x');
-  std::string command = "*5\r\n";
-  for (const std::string& part :
-       {std::string("MSG.PUT"), std::string("0000000000000000"), t.id, values, body}) {
-    command += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
-  }
-  return command;
+  return RespCommand({"MSG.PUT", "0000000000000000", t.id, values, body});
 }
 
-void Load::Answered(Line&, const Try& t, const std::string& answer) {
+void Load::OnAnswer(ClientLine& line, const std::string& answer) {
+  const Try t = lines_.at(&line).asking;
   if (answer.rfind("+OK", 0) == 0) {
     ledger_.Taken(t.id, net::Loop::Now());
     --waiting_;
@@ -173,12 +98,20 @@
   Again(t, after, Ledger::End::kRefused);
 }
 
-void Load::Broken(Line& line, const Try& t, bool fresh) {
-  Drop(line);
-  Try next = t;
+void Load::OnBreak(ClientLine& line, const ClientLine::Break& how) {
+  const auto it = lines_.find(&line);
+  const std::size_t relay = it->second.relay;
+  Try t = it->second.asking;
+  line.Close();
+  loop_.Dispose(std::move(it->second.line));
+  lines_.erase(it);
+  if (!how.connected) passed_over_until_[relay] = net::Loop::Now() + options_.front_notices_after;
+  if (!how.asking) return;
   // Never read by a relay: the same request once more.
-  next.repeated = fresh;
-  if (fresh && !t.repeated) return HandIn(next);
+  if ((!how.connected || how.unread) && !t.repeated) {
+    t.repeated = true;
+    return HandIn(t);
+  }
   Again(t, 0ms, Ledger::End::kUnanswered);
 }
 
@@ -192,16 +125,4 @@
   later_timer_.At(later_.begin()->first);
 }
 
-void Load::Refuses(std::size_t relay) {
-  passed_over_until_[relay] = net::Loop::Now() + options_.front_notices_after;
-}
-
-void Load::Drop(Line& line) {
-  const auto it = lines_.find(&line);
-  if (it == lines_.end()) return;
-  line.Close();
-  loop_.Dispose(std::move(it->second));
-  lines_.erase(it);
-}
-
 }  // namespace oxbowspread::standin
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "net/connection.hpp"
+#include "standin/client_line.hpp"
 #include "standin/ledger.hpp"
 
 namespace oxbowspread::standin {
@@ -25,11 +25,11 @@
   std::size_t body = 200;
 };
 
-class Load {
+class Load final : public ClientLine::Owner {
  public:
   // Loop and ledger must outlive it. Throws std::bad_optional_access where a relay's address is none.
   Load(net::Loop& loop, Ledger& ledger, const LoadOptions& options);
-  ~Load();
+  ~Load() override;
   Load(const Load&) = delete;
   Load& operator=(const Load&) = delete;
 
@@ -43,7 +43,6 @@
   net::Time lateness() const { return lateness_; }
 
  private:
-  class Line;
   struct Try {
     std::uint64_t message = 0;
     int number = 1;
@@ -51,13 +50,17 @@
     bool repeated = false;  // on a second connection, since the first was closed before it was read
   };
 
+  struct Seat {
+    std::unique_ptr<ClientLine> line;
+    std::size_t relay = 0;
+    Try asking;  // the last, while the line is not free
+  };
+
   void OnTick();
   void HandIn(Try t);
   void Again(const Try& t, net::Time after, Ledger::End end);
-  void Answered(Line& line, const Try& t, const std::string& answer);
-  void Broken(Line& line, const Try& t, bool fresh);
-  void Refuses(std::size_t relay);
-  void Drop(Line& line);
+  void OnAnswer(ClientLine& line, const std::string& answer) override;
+  void OnBreak(ClientLine& line, const ClientLine::Break& how) override;
   std::string Command(const Try& t) const;
 
   net::Loop& loop_;
@@ -65,7 +68,7 @@
   LoadOptions options_;
   std::vector<net::Address> addresses_;
   std::vector<net::Time> passed_over_until_;
-  std::map<Line*, std::unique_ptr<Line>> lines_;
+  std::map<ClientLine*, Seat> lines_;
   std::multimap<net::Time, Try> later_;
   net::Time begun_{0}, lateness_{0};
   std::uint64_t messages_ = 0, ids_ = 0;
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -12,7 +12,9 @@
 
 using namespace std::chrono_literals;
 
-std::string Answer(const char* status, const std::string& body = {}, const std::string& headers = {}) {
+}  // namespace
+
+std::string Answer(const char* status, const std::string& body, const std::string& headers) {
   return "HTTP/1.1 " + std::string(status) + "\r\n" + headers +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -23,8 +25,6 @@
   return size + text + "\r\n";
 }
 
-}  // namespace
-
 class HttpServer::Seat final : public net::Connection::User {
  public:
   Seat(HttpServer& server, std::uint64_t number, int fd)
@@ -44,7 +44,10 @@
       if (!good) return server_.Leave(number_);
     }
   }
-  void OnClosed() override { server_.Leave(number_); }
+  void OnClosed() override {
+    if (server_.gone_) server_.gone_(number_);
+    server_.Leave(number_);
+  }
 
   HttpServer& server_;
   std::uint64_t number_;
@@ -52,8 +55,11 @@
   net::Connection connection_;
 };
 
-HttpServer::HttpServer(net::Loop& loop, int port, Handler handler)
-    : loop_(loop), handler_(std::move(handler)), port_(port != 0 ? port : FreePort()) {
+HttpServer::HttpServer(net::Loop& loop, int port, Handler handler, Gone gone)
+    : loop_(loop),
+      handler_(std::move(handler)),
+      gone_(std::move(gone)),
+      port_(port != 0 ? port : FreePort()) {
   listener_ = std::make_unique<net::Listener>(loop, *net::ParseAddress("127.0.0.1:" + std::to_string(port_)),
                                               [this](int fd) {
                                                 const std::uint64_t number = next_++;
--- a/src/standin/platform.hpp
+++ b/src/standin/platform.hpp
@@ -19,15 +19,18 @@
 class HttpServer {
  public:
   using Handler = std::function<void(std::uint64_t connection, const Request& request)>;
+  using Gone = std::function<void(std::uint64_t connection)>;
 
-  // Port 0: any. Throws std::system_error.
-  HttpServer(net::Loop& loop, int port, Handler handler);
+  // Port 0: any. `gone` is told of connections that the other side ended. Throws std::system_error.
+  HttpServer(net::Loop& loop, int port, Handler handler, Gone gone = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   int port() const { return port_; }
   // False if the connection has gone.
   bool Write(std::uint64_t connection, const std::string& bytes);
+  // Ends it; `gone` is not told.
+  void Close(std::uint64_t connection) { Leave(connection); }
   std::size_t connections() const { return seats_.size(); }
 
  private:
@@ -36,12 +39,18 @@
 
   net::Loop& loop_;
   Handler handler_;
+  Gone gone_;
   int port_ = 0;
   std::uint64_t next_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Seat>> seats_;
   std::unique_ptr<net::Listener> listener_;
 };
 
+// A whole answer; `status` as in "200 OK", each line of `headers` with its end.
+std::string Answer(const char* status, const std::string& body = {}, const std::string& headers = {});
+// One chunk of an answer that stays open.
+std::string Chunk(const std::string& text);
+
 // Spans in microseconds; port 0: any.
 struct PlatformOptions {
   int discovery_port = 0;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -4,22 +4,15 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-struct sqlite3;
-struct sqlite3_stmt;
+#include "sqlite/database.hpp"
 
 namespace oxbowspread::store {
 
-// The disk is full, the file is damaged, ...: in SQLite's words.
-class Error : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using sqlite::Error;  // "store: ...": the disk is full, the file is damaged
 
 struct Desired {
   std::string want, stamp;
@@ -42,9 +35,6 @@
   // Makes the file if it isn't there. `most_kb` bounds it; a store that is full refuses what would make it
   // larger. Throws Error, also for a file of a later version.
   Store(const std::string& path, int most_kb);
-  ~Store();
-  Store(const Store&) = delete;
-  Store& operator=(const Store&) = delete;
 
   std::optional<std::string> Get(const std::string& key);
   void Put(const std::string& key, const std::string& value);
@@ -67,11 +57,7 @@
   static constexpr int kHistory = 20'000;
 
  private:
-  class Statement;
-  void Do(const std::string& sql);
-  [[noreturn]] void Fail() const;
-
-  sqlite3* db_ = nullptr;
+  sqlite::Database database_;
 };
 
 }  // namespace oxbowspread::store
