--- /dev/null
+++ b/src/apps/oxbowlab.cpp
@@ -0,0 +1,308 @@
+// oxbowlab: plays days of the platform's model around relays, checks every rule, counts the service, and
+// keeps, compares and draws what came of them.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "apps/arguments.hpp"
+#include "lab/report.hpp"
+#include "lab/settings.hpp"
+#include "lab/simulation.hpp"
+#include "lab/stage.hpp"
+#include "results/child.hpp"
+#include "results/compare.hpp"
+#include "results/report.hpp"
+#include "results/results.hpp"
+#include "results/sweep.hpp"
+
+namespace {
+
+using namespace oxbowspread;
+using results::Json;
+
+constexpr int kBroken = 1;  // a rule was broken, a relay crashed, or the run was spoilt
+
+struct Day {
+  std::string file, trace, relay;
+  std::vector<std::string> sets;
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+int Play(const Day& wanted, bool on_sockets) {
+  const model::Scenario scenario = model::ReadScenario(wanted.file, wanted.sets);
+  const model::Day day = model::Draw(scenario, wanted.seed);
+  const std::string folder =
+      (std::filesystem::temp_directory_path() / ("oxbowlab-" + std::to_string(getpid()))).string();
+  std::ofstream trace;
+  lab::OnTrace keep;
+  if (!wanted.trace.empty()) {
+    trace.open(wanted.trace);
+    if (!trace) throw yaml::Error(wanted.trace + ": can't be written");
+    keep = [&](const trace::Event& event) { trace << trace::ToLine(event) << "\n"; };
+  }
+  const lab::Outcome outcome = on_sockets ? lab::Play(scenario, day, {wanted.relay, folder, keep, {}})
+                                          : lab::Simulate(scenario, day, {folder, keep, {}});
+  if (wanted.json) {
+    std::cout << lab::ReportOf(outcome, day, scenario.name).dump() << "\n";
+  } else {
+    std::cout << lab::TextOf(outcome, day, scenario.name);
+  }
+  return outcome.clean() ? 0 : kBroken;
+}
+
+int Check(const std::string& file, const std::string& scenario_file) {
+  std::ifstream in(file);
+  if (!in) throw yaml::Error(file + ": can't be read");
+  check::Rules rules;
+  if (!scenario_file.empty()) rules = lab::RulesOf(model::ReadScenario(scenario_file));
+  check::Checker checker(rules);
+  std::string line;
+  std::uint64_t number = 0;
+  while (std::getline(in, line)) {
+    ++number;
+    try {
+      checker.See(trace::FromLine(line));
+    } catch (const std::exception& e) {
+      // A last line without its end is one that was cut short: the checker says so.
+      if (in.eof()) break;
+      throw yaml::Error(file + ":" + std::to_string(number) + ": " + e.what());
+    }
+  }
+  checker.Finish();
+  for (const check::Breach& b : checker.breaches()) {
+    std::printf("%.6f s: %s, %s: %s\n", static_cast<double>(b.at.count()) / 1e6, b.rule.c_str(),
+                b.message.c_str(), b.events.c_str());
+  }
+  std::printf("%llu events, %llu calls, %zu breaches", static_cast<unsigned long long>(number),
+              static_cast<unsigned long long>(checker.calls()), checker.breaches().size());
+  if (checker.cut_short()) std::printf(", cut short with %zu messages undecided", checker.undecided());
+  std::printf("\n");
+  return checker.breaches().empty() && !checker.cut_short() ? 0 : kBroken;
+}
+
+// ---- experiments ----
+
+struct Sweep {
+  std::vector<std::string> scenarios, sets;
+  std::string out, seeds = "1-5", label = "now", driver = "sim", relay, program;
+  int jobs = 0;
+};
+
+struct Work {
+  results::Key key;
+  std::string file;
+};
+
+std::vector<Work> PlanOf(const Sweep& sweep) {
+  const auto seeds = results::ReadSeeds(sweep.seeds);
+  const auto variants = results::ReadVariants(sweep.sets);
+  std::vector<Work> all;
+  for (const std::string& file : sweep.scenarios) {
+    for (const std::string& variant : variants) {
+      // All is read before anything is played: a fault in the last one must not come after an hour.
+      const model::Scenario scenario = model::ReadScenario(file, results::SettingsIn(variant));
+      for (const std::uint64_t seed : seeds) {
+        all.push_back({{sweep.label, scenario.name, scenario.version, variant, seed, sweep.driver}, file});
+      }
+    }
+  }
+  return all;
+}
+
+void Progress(std::size_t done, std::size_t all, std::size_t bad) {
+  if (isatty(STDERR_FILENO) == 0) return;
+  constexpr std::size_t kWidth = 40;
+  const std::size_t filled = all == 0 ? kWidth : kWidth * done / all;
+  std::fprintf(stderr, "\r[%s%s] %zu of %zu days%s", std::string(filled, '#').c_str(),
+               std::string(kWidth - filled, '.').c_str(), done, all,
+               bad > 0 ? (", " + std::to_string(bad) + " not clean").c_str() : "");
+  if (done == all) std::fprintf(stderr, "\n");
+}
+
+// Each day is a process of its own: one that crashes takes nothing with it.
+int RunSweep(const Sweep& sweep) {
+  const std::vector<Work> all = PlanOf(sweep);
+  results::Results kept(sweep.out);
+  std::vector<const Work*> open;
+  for (const Work& work : all) {
+    if (!kept.Has(work.key)) open.push_back(&work);
+  }
+  const std::size_t known = all.size() - open.size();
+  std::mutex lock;
+  std::size_t done = known, bad = 0;
+  std::string fault;
+  std::atomic<std::size_t> next{0};
+  Progress(done, all.size(), bad);
+  const auto play = [&] {
+    for (std::size_t i = next++; i < open.size(); i = next++) {
+      const Work& work = *open[i];
+      std::vector<std::string> words = {sweep.program, sweep.driver, work.file,
+                                        "--json",      "--seed",     std::to_string(work.key.seed)};
+      for (const std::string& set : results::SettingsIn(work.key.variant)) {
+        words.insert(words.end(), {"--set", set});
+      }
+      if (sweep.driver == "run") words.insert(words.end(), {"--relay", sweep.relay});
+      try {
+        const results::Ran ran = results::RunToEnd(words);
+        if (ran.exit_code != 0 && ran.exit_code != kBroken) {
+          throw std::runtime_error(
+              work.key.scenario + " seed " + std::to_string(work.key.seed) + ": " +
+              (ran.exit_code < 0 ? "ended by a signal" : ran.err.substr(0, ran.err.find('\n'))));
+        }
+        const results::Row row{work.key, Json::parse(ran.out)};
+        const std::lock_guard<std::mutex> hold(lock);
+        kept.Put(row);
+        ++done;
+        if (!row.clean()) ++bad;
+        Progress(done, all.size(), bad);
+      } catch (const std::exception& e) {
+        const std::lock_guard<std::mutex> hold(lock);
+        if (fault.empty()) fault = e.what();
+        next = open.size();  // what is kept is kept; the rest is for another time
+      }
+    }
+  };
+  const int most =
+      sweep.driver == "run" ? 2 : static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+  std::vector<std::thread> threads;
+  for (int i = 0; i < (sweep.jobs > 0 ? sweep.jobs : most); ++i) threads.emplace_back(play);
+  for (std::thread& thread : threads) thread.join();
+  std::printf("%zu days: %zu played, %zu known already, %zu not clean\n", all.size(), done - known, known,
+              bad);
+  if (!fault.empty()) {
+    std::cerr << "oxbowlab: " << fault << "\n";
+    return kBroken;
+  }
+  return bad == 0 ? 0 : kBroken;
+}
+
+int Compare(const std::string& file, const std::string& a, const std::string& b, const std::string& figure,
+            bool json) {
+  const auto rows = results::Results(file).All();
+  const auto table =
+      results::Compare(rows, results::ReadSelector(a), results::ReadSelector(b), "figures/" + figure);
+  if (table.back().pairs == 0) {
+    throw std::runtime_error("no day was played cleanly by both '" + a + "' and '" + b + "' with a " +
+                             figure);
+  }
+  Json all = Json::array();
+  if (!json) std::printf("%-24s %6s %10s %10s %10s   95%% of it\n", "scenario", "pairs", "a", "b", "b - a");
+  for (const results::Difference& d : table) {
+    all.push_back({{"scenario", d.scenario},
+                   {"pairs", d.pairs},
+                   {"a", d.a},
+                   {"b", d.b},
+                   {"difference", d.mean},
+                   {"low", d.low},
+                   {"high", d.high}});
+    if (json) continue;
+    std::printf("%-24s %6zu %10.4f %10.4f %+10.4f   %+.4f to %+.4f%s\n", d.scenario.c_str(), d.pairs, d.a,
+                d.b, d.mean, d.low, d.high, d.low > 0 || d.high < 0 ? "" : "  (may be none)");
+  }
+  if (json) std::cout << all.dump() << "\n";
+  return 0;
+}
+
+int Report(const std::string& file, const std::string& out, const std::string& svg_folder) {
+  const auto rows = results::Results(file).All();
+  if (rows.empty()) throw std::runtime_error(file + ": holds no results");
+  const auto charts = results::ChartsOf(rows);
+  std::vector<std::string> svg;
+  for (const results::Chart& chart : charts) {
+    svg.push_back(results::Draw(chart));
+    if (svg_folder.empty()) continue;
+    std::filesystem::create_directories(svg_folder);
+    std::ofstream(svg_folder + "/" + chart.name + ".svg") << svg.back();
+  }
+  std::ofstream page(out);
+  page << results::Page(rows, charts, svg);
+  page.close();
+  if (!page) throw std::runtime_error(out + ": can't be written");
+  std::printf("%s: %zu days, %zu charts\n", out.c_str(), rows.size(), charts.size());
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app(
+      "Plays days of the platform's model around relays, checks every rule, and counts the service.");
+  app.set_version_flag("--version", OXBOWSPREAD_VERSION);
+  app.require_subcommand(1);
+  const std::string beside = (std::filesystem::path(argv[0]).parent_path() / "oxbowspread").string();
+
+  Day day;
+  day.relay = beside;
+  CLI::App* const sim = app.add_subcommand("sim", "one day on a virtual clock");
+  CLI::App* const run = app.add_subcommand("run", "one day on loopback sockets, in real time");
+  for (CLI::App* const one : {sim, run}) {
+    one->add_option("SCENARIO", day.file, "YAML file")->required();
+    one->add_option("--seed", day.seed, "which day (1)");
+    one->add_option("--set", day.sets, "KEY=VALUE laid over the scenario, such as traffic.load=0.9");
+    one->add_flag("--json", day.json, "one JSON object");
+    one->add_option("--trace", day.trace, "all that crossed, one JSON object a line");
+  }
+  run->add_option("--relay", day.relay, "the relay's program (beside this one)");
+
+  std::string file, scenario_file;
+  CLI::App* const check = app.add_subcommand("check", "the rules, on a trace that was kept");
+  check->add_option("TRACE", file, "one JSON object a line")->required();
+  check->add_option("--scenario", scenario_file, "whose figures the rules have");
+
+  Sweep sweep;
+  sweep.relay = beside;
+  sweep.program = argv[0];
+  CLI::App* const many =
+      app.add_subcommand("sweep", "many days, side by side; goes on where it was broken off");
+  many->add_option("SCENARIO", sweep.scenarios, "YAML files")->required();
+  many->add_option("--out", sweep.out, "file of results (SQLite)")->required();
+  many->add_option("--seeds", sweep.seeds, "such as 1-20 (1-5)");
+  many->add_option("--set", sweep.sets, "KEY=VALUE,VALUE: each value a variant; several: their product");
+  many->add_option("--label", sweep.label, "what is tried, such as a program's version (now)");
+  many->add_option("--driver", sweep.driver, "sim or run (sim)")->check(CLI::IsMember({"sim", "run"}));
+  many->add_option("--jobs", sweep.jobs, "days at once (one a core; 2 with run)")->check(CLI::Range(1, 256));
+  many->add_option("--relay", sweep.relay, "with run: the relay's program");
+
+  std::string a, b, figure = "service", out, svg_folder;
+  bool json = false;
+  CLI::App* const compare = app.add_subcommand("compare", "two labels or variants, paired by day");
+  compare->add_option("RESULTS", file, "file of results")->required();
+  compare->add_option("A", a, "LABEL, LABEL:VARIANT, with @sim or @run behind it")->required();
+  compare->add_option("B", b, "the same")->required();
+  compare->add_option("--figure", figure, "of a report's figures (service)");
+  compare->add_flag("--json", json, "one JSON list");
+  CLI::App* const csv = app.add_subcommand("export", "results as CSV");
+  csv->add_option("RESULTS", file, "file of results")->required();
+  CLI::App* const report = app.add_subcommand("report", "results as one HTML page with charts");
+  report->add_option("RESULTS", file, "file of results")->required();
+  report->add_option("--out", out, "the page")->required();
+  report->add_option("--svg", svg_folder, "a folder for the charts by themselves");
+
+  if (const auto code = apps::Parse(app, "oxbowlab", argc, argv)) return *code;
+  try {
+    if (sim->parsed() || run->parsed()) return Play(day, run->parsed());
+    if (check->parsed()) return Check(file, scenario_file);
+    if (many->parsed()) return RunSweep(sweep);
+    for (CLI::App* const one : {compare, csv, report}) {
+      if (one->parsed() && !std::filesystem::exists(file)) throw std::runtime_error(file + ": is not there");
+    }
+    if (compare->parsed()) return Compare(file, a, b, figure, json);
+    if (report->parsed()) return Report(file, out, svg_folder);
+    std::cout << results::ToCsv(results::Results(file).All());
+    return 0;
+  } catch (const std::exception& e) {
+    std::cerr << "oxbowlab: " << e.what() << "\n";
+    return apps::kBadInput;
+  }
+}
--- a/src/issuer/hosts.cpp
+++ b/src/issuer/hosts.cpp
@@ -41,7 +41,7 @@
   Gone(id, host, news.info.lifecycle == wheathub::Lifecycle::kRemoved);
   host.zone = news.info.zone;
   if (!news.address.empty() && news.address != host.address) {
-    close->push_back(id);
+    if (!host.address.empty()) close->push_back(id);
     Move(id, host, news.address);
   }
   host.known = net::ParseAddress(host.address).has_value();
--- /dev/null
+++ b/src/lab/node.cpp
@@ -0,0 +1,333 @@
+#include "lab/node.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <sstream>
+
+#include "issuer/line.hpp"
+
+namespace oxbowspread::lab {
+namespace {
+
+using wheathub::Outcome;
+using namespace std::chrono_literals;
+
+// The relay's own clocks: never near 0, which some spans use for "not yet".
+constexpr Time kMonotonic = 1000s;
+constexpr Time kUnix = 1'700'000'000s;
+// As in issuer::Issuer and the program's main.
+constexpr Time kSweepEach = 200ms, kRest = 30ms;
+constexpr double kKeepShare = 0.8;
+constexpr Time kDoorOpen = 500ms, kSettleAt = 3100ms, kStopAt = 3550ms, kLookEach = 20ms;
+
+std::ostream& Nowhere() {
+  static std::ostream none(nullptr);
+  return none;
+}
+
+}  // namespace
+
+struct Node::Hand final : relay::Acquirer {
+  Hand(Node& n, std::uint64_t h) : node(n), number(h) {}
+  bool TakenOn() override {
+    node.around_.Tell(model::Answered{number, model::Answered::What::kTaken, Time(0)});
+    Over();
+    return true;
+  }
+  void Refused(relay::Time come_again) override {
+    node.around_.Tell(model::Answered{number, model::Answered::What::kTurnedAway, come_again});
+    Over();
+  }
+  // The core is done with it, but may still be in the call.
+  void Over() {
+    node.Later(Time(0), [&n = node, h = number] { n.hands_.erase(h); });
+    answered = true;
+  }
+  Node& node;
+  std::uint64_t number;
+  bool answered = false;
+};
+
+Node::Node(const Options& options, const wheathub::Settings& settings, Around& around,
+           const model::TellList& known)
+    : options_(options), around_(around) {
+  std::filesystem::create_directories(options_.folder);
+  journal_ = std::make_unique<journal::Journal>(options_.folder, options_.disk_bytes);
+  relay_ =
+      std::make_unique<relay::Relay>(settings, options_.seed, *journal_,
+                                     relay::Relay::Sides{*this, *this, *this, *this, &Nowhere()}, counters_);
+  version_ = known.version;
+  relay_->Recover(ChangeOf(known, true));
+  Later(kSweepEach, [this] { Sweep(); });
+}
+
+Node::~Node() {
+  *alive_ = false;
+  for (const auto& [number, call] : calls_) {
+    around_.Tell(model::Dropped{number});
+    around_.Disconnect(call.address);
+  }
+  for (const auto& [host, pool] : pools_) {
+    for (std::size_t i = 0; i < pool.free_since.size(); ++i) around_.Disconnect(pool.address);
+  }
+  for (const auto& [number, hand] : hands_) {
+    if (!hand->answered) around_.Tell(model::Answered{number, model::Answered::What::kBroken, Time(0)});
+  }
+}
+
+Time Node::Now() const { return around_.Now() + kMonotonic; }
+Time Node::UnixNow() const { return around_.Now() + kUnix; }
+
+void Node::Later(Time after, std::function<void()> what) {
+  around_.At(around_.Now() + after, [alive = alive_, what = std::move(what)] {
+    if (*alive) what();
+  });
+}
+
+void Node::WakeAt(Time moment) {
+  const std::uint64_t wake = ++wake_;
+  Later(std::max(Time(0), moment - Now()), [this, wake] {
+    if (wake == wake_) relay_->Turn();
+  });
+}
+
+// ---- clients ----
+
+void Node::Take(const model::HandIn& in, const std::string& body) {
+  last_hand_ = around_.Now();
+  journal::Authorisation a;
+  a.id = in.id;
+  a.key = in.key;
+  a.class_name = "outbound";
+  a.destination = in.destination;
+  a.ends_at = UnixNow() + in.left;
+  a.again = in.refused_before || in.died_before;
+  a.body = body;
+  const auto [it, made] = hands_.emplace(in.hand, std::make_unique<Hand>(*this, in.hand));
+  relay_->Submit(std::move(a), *it->second);
+}
+
+void Node::Leave(std::uint64_t number) {
+  const auto it = hands_.find(number);
+  if (it == hands_.end() || it->second->answered) return;
+  relay_->Withdraw(*it->second);
+  hands_.erase(it);
+}
+
+// ---- lines ----
+
+void Node::Fail(const relay::LegId& leg, Outcome outcome) {
+  Later(Time(0), [this, leg, outcome] { relay_->LegEnded(leg, {outcome, false, Time(0)}); });
+}
+
+// An idle line, or a new one; false: none to be had. `fresh` by whether the pool had one.
+bool Node::TakeLine(const std::string& host, const std::string& address, Time now) {
+  const auto it = pools_.find(host);
+  if (it == pools_.end() || it->second.address != address) return false;
+  auto& idle = it->second.free_since;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (now - idle[i] < kRest) continue;
+    if (static_cast<double>((now - idle[i]).count()) >
+        kKeepShare * static_cast<double>(options_.keepalive.count())) {
+      return false;
+    }
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    return true;
+  }
+  return false;
+}
+
+void Node::GiveLine(const std::string& host, const std::string& address) {
+  const issuer::Host* const known = hosts_.Find(host);
+  if (known == nullptr || !known->ready || !known->known || known->address != address)
+    return CloseLine(address);
+  Pool& pool = pools_[host];
+  pool.address = address;
+  pool.free_since.push_back(Now());
+}
+
+void Node::CloseLine(const std::string& address) {
+  around_.Disconnect(address);
+  lines_ -= 1;
+}
+
+bool Node::MakeRoom() {
+  Pool* longest = nullptr;
+  for (auto& [host, pool] : pools_) {
+    if (pool.free_since.empty()) continue;
+    if (longest == nullptr || pool.free_since.front() < longest->free_since.front()) longest = &pool;
+  }
+  if (longest == nullptr) return false;
+  longest->free_since.erase(longest->free_since.begin());
+  counters_.lines_evicted += 1;
+  CloseLine(longest->address);
+  return true;
+}
+
+void Node::CloseIdle(const std::string& host) {
+  const auto it = pools_.find(host);
+  if (it == pools_.end()) return;
+  for (std::size_t i = 0; i < it->second.free_since.size(); ++i) CloseLine(it->second.address);
+  pools_.erase(it);
+}
+
+void Node::Sweep() {
+  Later(kSweepEach, [this] { Sweep(); });
+  const Time now = Now();
+  const auto keep =
+      Time(static_cast<Time::rep>(kKeepShare * static_cast<double>(options_.keepalive.count())));
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    auto& idle = it->second.free_since;
+    while (!idle.empty() && now - idle.front() > keep) {
+      idle.erase(idle.begin());
+      counters_.lines_idled += 1;
+      CloseLine(it->second.address);
+    }
+    it = idle.empty() ? pools_.erase(it) : std::next(it);
+  }
+  for (const std::string& id : hosts_.LongGone(now)) {
+    if (pools_.count(id) == 0) hosts_.Forget(id);
+  }
+}
+
+// ---- calls ----
+
+void Node::Begin(relay::LegOrder order) {
+  const issuer::Host* const host = hosts_.Find(order.host);
+  if (host == nullptr || !host->known) return Fail(order.leg, Outcome::kNoConnection);
+  const Time now = Now();
+  const std::string address = host->address;
+  const bool fresh = !TakeLine(order.host, address, now);
+  if (fresh) {
+    if (lines_ >= options_.most_lines && !MakeRoom()) return Fail(order.leg, Outcome::kNotSent);
+    if (!around_.Connect(address)) {
+      counters_.line_failures += 1;
+      return Fail(order.leg, Outcome::kNoConnection);
+    }
+    lines_ += 1;
+    counters_.lines_opened += 1;
+  }
+  if (!issuer::Hosts::MayWrite(*host, order.write_before, now) ||
+      !relay_->LegWriting(order.leg, order.host, host->zone)) {
+    counters_.legs_held_back += 1;
+    GiveLine(order.host, address);
+    return Fail(order.leg, Outcome::kNotSent);
+  }
+  const std::uint64_t call = around_.NextCall(options_.number);
+  calls_[call] = {order.leg, order.host, address};
+  by_leg_[order.leg] = call;
+  around_.Tell(model::Called{call, options_.number, address, order.leg.id, order.key, fresh});
+  Later(std::max(Time(0), order.give_up_at - now), [this, call] { Expire(call); });
+}
+
+void Node::Expire(std::uint64_t number) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) return;
+  const relay::LegId leg = it->second.leg;
+  Cut(leg);
+  relay_->LegEnded(leg, {Outcome::kTimedOut, false, Time(0)});
+}
+
+void Node::Cut(const relay::LegId& leg) {
+  const auto it = by_leg_.find(leg);
+  if (it == by_leg_.end()) return;
+  const std::uint64_t number = it->second;
+  CloseLine(calls_.at(number).address);
+  calls_.erase(number);
+  by_leg_.erase(it);
+  around_.Tell(model::Dropped{number});
+}
+
+void Node::Answer(const model::AnswerCall& answer) {
+  const auto it = calls_.find(answer.call);
+  if (it == calls_.end()) return;
+  const Call call = it->second;
+  calls_.erase(it);
+  by_leg_.erase(call.leg);
+  // Read as the issuer side reads it.
+  proto::HttpHead head;
+  head.status = answer.status;
+  if (answer.wait > 0us) {
+    char text[40];
+    std::snprintf(text, sizeof text, "%.6f", static_cast<double>(answer.wait.count()) / 1e6);
+    head.headers["retry-after"] = text;
+  }
+  const relay::LegEnd end = issuer::MeaningOf(head);
+  if (end.told_wait > 0us) hosts_.ToldWait(call.host, end.told_wait, Now());
+  GiveLine(call.host, call.address);
+  relay_->LegEnded(call.leg, end);
+}
+
+void Node::Break(std::uint64_t number) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) return;
+  const Call call = it->second;
+  calls_.erase(it);
+  by_leg_.erase(call.leg);
+  CloseLine(call.address);
+  relay_->LegEnded(call.leg, {Outcome::kReset, false, Time(0)});
+}
+
+// ---- discovery and notices ----
+
+relay::RoutingChange Node::ChangeOf(const model::TellList& list, bool remembered) const {
+  relay::RoutingChange change;
+  change.scope = remembered  ? wheathub::ListScope::kRemembered
+                 : list.full ? wheathub::ListScope::kAll
+                             : wheathub::ListScope::kChanges;
+  change.revision = list.version;
+  for (const model::ListEntry& entry : list.entries) {
+    relay::Host host;
+    host.info.id = entry.id;
+    host.info.destination = entry.destination;
+    host.info.kind = entry.kind;
+    host.info.zone = entry.zone;
+    host.info.weight = entry.weight;
+    host.info.lifecycle = entry.state == model::ListEntry::State::kReady ? wheathub::Lifecycle::kUp
+                          : entry.state == model::ListEntry::State::kTerminating
+                              ? wheathub::Lifecycle::kDraining
+                              : wheathub::Lifecycle::kRemoved;
+    host.address = entry.address;
+    change.hosts.push_back(std::move(host));
+  }
+  return change;
+}
+
+void Node::Adopt(const relay::RoutingChange& change) {
+  for (const std::string& id : hosts_.Adopt(change, Now())) CloseIdle(id);
+}
+
+void Node::Adopt(const model::TellList& list) {
+  version_ = list.version;
+  relay_->RoutingChanged(ChangeOf(list, false));
+}
+
+void Node::Watch() { around_.Tell(model::ListWanted{options_.number, version_, true}); }
+void Node::Fetch() { around_.Tell(model::ListWanted{options_.number, 0, false}); }
+
+void Node::Post(const std::string& id, const journal::Ending& ending) {
+  Later(Time(0), [this, id, ending] {
+    around_.Tell(model::Noticed{options_.number, id, ending.deferred, Time(ending.again_ms * 1000)});
+    relay_->NoticeTaken(id);
+  });
+}
+
+// ---- the end ----
+
+void Node::Terminate() {
+  if (terminated_ >= 0us) return;
+  terminated_ = last_hand_ = around_.Now();
+  Later(kLookEach, [this] { LookAtEnd(); });
+}
+
+void Node::LookAtEnd() {
+  const Time since = around_.Now() - terminated_;
+  if (since >= kSettleAt && !std::exchange(settled_, true)) relay_->Settle();
+  const bool nothing_owed = relay_->done() && around_.Now() - last_hand_ >= kDoorOpen;
+  if (nothing_owed || since >= kStopAt || (settled_ && relay_->out() == 0))
+    return around_.Ended(options_.number);
+  Later(kLookEach, [this] { LookAtEnd(); });
+}
+
+}  // namespace oxbowspread::lab
--- /dev/null
+++ b/src/lab/node.hpp
@@ -0,0 +1,115 @@
+// One life of a relay on a virtual clock: the real core, module, journal and host book, with lines to hosts
+// that are numbers instead of sockets. In place of `acquirer`, `issuer::Issuer`, `routing` and `notice`.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "issuer/hosts.hpp"
+#include "journal/journal.hpp"
+#include "model/world.hpp"
+#include "relay/counters.hpp"
+#include "relay/relay.hpp"
+
+namespace oxbowspread::lab {
+
+using model::Time;
+
+class Node final : private relay::Clock,
+                   private relay::IssuerSide,
+                   private relay::RoutingTable,
+                   private relay::Notices {
+ public:
+  // What surrounds it. Outlives it.
+  class Around {
+   public:
+    virtual ~Around() = default;
+    virtual Time Now() const = 0;  // of the day
+    virtual void At(Time moment, std::function<void()> what) = 0;
+    virtual void Tell(model::Input input) = 0;  // the world hears of it within the same moment
+    virtual std::uint64_t NextCall(int relay) = 0;
+    virtual bool Connect(const std::string& address) = 0;
+    virtual void Disconnect(const std::string& address) = 0;
+    virtual void Ended(int relay) = 0;  // after Terminate; the node is destroyed after this call
+  };
+
+  struct Options {
+    int number = 0;
+    std::string folder;  // its journal's; lasts from one life to the next
+    std::size_t disk_bytes = 3'000'000;
+    std::size_t most_lines = 500;
+    std::uint64_t seed = 0;
+    Time keepalive{15'000'000};
+  };
+
+  // Recovers what its journal owes. Throws what the journal throws.
+  Node(const Options& options, const wheathub::Settings& settings, Around& around,
+       const model::TellList& known);
+  // As a SIGKILL does: what is out is dropped, who waits hears that the connection broke.
+  ~Node();
+
+  void Take(const model::HandIn& in, const std::string& body);
+  void Leave(std::uint64_t hand);
+  void Answer(const model::AnswerCall& answer);
+  void Break(std::uint64_t call);
+  void Adopt(const model::TellList& list);
+  void Terminate();
+  const relay::Counters& counters() const { return counters_; }
+  std::size_t held() const { return relay_->held(); }
+
+ private:
+  struct Hand;
+  struct Call {
+    relay::LegId leg;
+    std::string host, address;
+  };
+  struct Pool {
+    std::string address;
+    std::vector<Time> free_since;  // of idle lines, in the order in which they got free
+  };
+
+  Time Now() const override;
+  Time UnixNow() const override;
+  void WakeAt(Time moment) override;
+  void Adopt(const relay::RoutingChange& change) override;
+  void Begin(relay::LegOrder order) override;
+  void Cut(const relay::LegId& leg) override;
+  void CloseIdle(const std::string& host) override;
+  void Watch() override;
+  void Fetch() override;
+  void Post(const std::string& id, const journal::Ending& ending) override;
+
+  void Later(Time after, std::function<void()> what);  // not once this life is over
+  void Fail(const relay::LegId& leg, wheathub::Outcome outcome);
+  bool TakeLine(const std::string& host, const std::string& address, Time now);
+  void GiveLine(const std::string& host, const std::string& address);
+  void CloseLine(const std::string& address);
+  bool MakeRoom();
+  void Expire(std::uint64_t call);
+  void Sweep();
+  void LookAtEnd();
+  relay::RoutingChange ChangeOf(const model::TellList& list, bool remembered) const;
+
+  Options options_;
+  Around& around_;
+  relay::Counters counters_;
+  issuer::Hosts hosts_;
+  std::unique_ptr<journal::Journal> journal_;
+  std::unique_ptr<relay::Relay> relay_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::uint64_t wake_ = 0;
+  std::int64_t version_ = 0;
+  std::map<std::string, Pool> pools_;
+  std::size_t lines_ = 0;
+  std::map<std::uint64_t, Call> calls_;
+  std::map<relay::LegId, std::uint64_t> by_leg_;
+  std::map<std::uint64_t, std::unique_ptr<Hand>> hands_;
+  Time terminated_{-1}, last_hand_{0};
+  bool settled_ = false;
+};
+
+}  // namespace oxbowspread::lab
--- /dev/null
+++ b/src/lab/outcome.hpp
@@ -0,0 +1,34 @@
+// What one played day came to, on sockets or on a virtual clock.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "check/checker.hpp"
+#include "check/tally.hpp"
+
+namespace oxbowspread::lab {
+
+struct Outcome {
+  check::Figures figures;
+  std::vector<check::Breach> breaches;
+  bool cut_short = false;
+  std::string crash;            // of a relay, in its own words or the system's; empty: none
+  std::string spoilt;           // why the run tells nothing of the relays; empty: it does
+  trace::Time length{0};        // of the day, to its last end
+  trace::Time lateness{0};      // of the load, at most; 0 on a virtual clock
+  std::uint64_t turns = 0;      // Steps of all relays; on a virtual clock only
+  std::uint64_t most_held = 0;  // messages at one relay; on a virtual clock only
+  trace::Time cpu{0};           // of all relays; on sockets only
+  std::uint64_t peak_kb = 0;    // of the largest relay; on sockets only
+
+  bool clean() const { return breaches.empty() && crash.empty() && spoilt.empty() && !cut_short; }
+};
+
+using OnTrace = std::function<void(const trace::Event&)>;
+using OnProgress =
+    std::function<void(trace::Time now, trace::Time length)>;  // about once a second of the day
+
+}  // namespace oxbowspread::lab
--- /dev/null
+++ b/src/lab/stage.cpp
@@ -0,0 +1,524 @@
+#include "lab/stage.hpp"
+
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "lab/settings.hpp"
+#include "standin/client_line.hpp"
+#include "standin/platform.hpp"
+#include "standin/site.hpp"
+#include "supervise/process.hpp"
+
+namespace oxbowspread::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using model::Time;
+using Json = nlohmann::json;
+
+constexpr Time kLookEach = 10ms;  // at processes
+constexpr Time kReadyWithin = 20s;
+constexpr Time kKillAfter = 3700ms;  // after SIGTERM
+constexpr Time kBeatEach = 2s;       // of a watch
+
+class Stage final : public standin::ClientLine::Owner {
+ public:
+  Stage(const model::Scenario& scenario, const model::Day& day, const StageOptions& options)
+      : scenario_(scenario),
+        day_(day),
+        options_(options),
+        checker_(RulesOf(scenario)),
+        tally_(TermsOf(scenario)),
+        world_(scenario, day, [this](const trace::Event& event) { See(event); }),
+        body_(static_cast<std::size_t>(scenario.traffic.body), 'b'),
+        turn_(loop_, [this] { Turn(); }),
+        look_(loop_, [this] { Look(); }),
+        beat_(loop_, [this] { Beat(); }) {
+    std::filesystem::remove_all(options_.folder);
+    std::filesystem::create_directories(options_.folder);
+    for (const std::string& address : world_.Addresses()) HostStands(address);
+    relays_.resize(static_cast<std::size_t>(day.relays));
+    for (std::size_t r = 0; r < relays_.size(); ++r) {
+      Relay& relay = relays_[r];
+      relay.listen = "127.0.0.1:" + std::to_string(standin::FreePort());
+      relay.address = *net::ParseAddress(relay.listen);
+      relay.discovery = std::make_unique<standin::HttpServer>(
+          loop_, 0,
+          [this, r](std::uint64_t connection, const standin::Request& request) {
+            OnDiscovery(r, connection, request);
+          },
+          [this, r](std::uint64_t connection) {
+            if (relays_[r].watch != connection) return;
+            relays_[r].watch = 0;
+            Tell(model::WatchEnded{static_cast<int>(r)});
+          });
+    }
+  }
+
+  ~Stage() override {
+    for (const Relay& relay : relays_) {
+      if (relay.pid <= 0) continue;
+      kill(relay.pid, SIGKILL);
+      waitpid(relay.pid, nullptr, 0);
+    }
+  }
+
+  Outcome Run() {
+    for (std::size_t r = 0; r < relays_.size(); ++r) Start(static_cast<int>(r));
+    ready_until_ = net::Loop::Now() + kReadyWithin;
+    look_.After(kLookEach);
+    beat_.After(kBeatEach);
+    loop_.Run();
+    checker_.Finish();
+    outcome_.breaches = checker_.breaches();
+    outcome_.cut_short = checker_.cut_short();
+    outcome_.figures = tally_.Sum();
+    outcome_.lateness = world_.lateness();
+    if (outcome_.spoilt.empty() && outcome_.lateness > options_.most_late) {
+      outcome_.spoilt = "the load was up to " + std::to_string(outcome_.lateness / 1ms) + " ms late";
+    }
+    if (outcome_.clean()) std::filesystem::remove_all(options_.folder);
+    return outcome_;
+  }
+
+ private:
+  struct Relay {
+    std::string listen;
+    net::Address address{};
+    std::unique_ptr<standin::HttpServer> discovery;
+    std::uint64_t watch = 0;             // connection; 0: none
+    std::vector<std::uint64_t> fetches;  // connections that wait for a whole list
+    pid_t pid = 0;
+    int lives = 0;
+    bool answers = false;
+    bool pinging = false;
+    bool expected = false;  // its end
+    Time kill_at{0};
+  };
+  struct HostAt {
+    std::unique_ptr<standin::HttpServer> server;
+    std::map<std::uint64_t, std::uint64_t> calls;  // connection to the call that is out on it, 0: none
+  };
+  struct Seat {
+    std::unique_ptr<standin::ClientLine> line;
+    int relay = 0;
+    std::uint64_t hand = 0;  // 0: a PING
+    bool again = false;      // sent once more, as the first connection was closed unread
+    std::string request;
+  };
+
+  Time Day() const { return net::Loop::Now() - begun_; }
+  bool begun() const { return begun_ > 0us; }
+
+  // ---- the world's turns ----
+
+  void Tell(model::Input input) {
+    inputs_.push_back(std::move(input));
+    if (begun()) turn_.After(Time(0));
+  }
+
+  void Turn() {
+    if (!begun() || ended_) return;
+    do {
+      const std::vector<model::Input> inputs = std::exchange(inputs_, {});
+      for (const model::Effect& effect : world_.Step(Day(), inputs)) {
+        std::visit([this](const auto& e) { Do(e); }, effect);
+      }
+    } while (!inputs_.empty());
+    if (options_.progress && Day() - told_ >= 1s) options_.progress(told_ = Day(), day_.length);
+    if (world_.done()) return End();
+    turn_.After(std::max(Time(0), world_.wake_at() - Day()));
+  }
+
+  void See(const trace::Event& event) {
+    checker_.See(event);
+    tally_.See(event);
+    if (options_.trace) options_.trace(event);
+  }
+
+  void End() {
+    outcome_.length = Day();
+    ended_ = true;
+    for (Relay& relay : relays_) {
+      if (relay.pid <= 0 || relay.expected) continue;
+      relay.expected = true;
+      relay.kill_at = net::Loop::Now() + kKillAfter;
+      kill(relay.pid, SIGTERM);
+    }
+  }
+
+  void Spoil(const std::string& why) {
+    if (outcome_.spoilt.empty()) outcome_.spoilt = why;
+    ended_ = true;
+    loop_.Stop();
+  }
+
+  // ---- relays ----
+
+  static Json ListJson(const model::TellList& list, const model::Scenario& scenario,
+                       const std::map<std::string, int>& ports) {
+    Json servers = Json::array();
+    for (const model::ListEntry& e : list.entries) {
+      const auto port = ports.find(e.address);
+      servers.push_back({{"id", e.id},
+                         {"addr", "127.0.0.1:" + std::to_string(port == ports.end() ? 1 : port->second)},
+                         {"zone", scenario.rooms[static_cast<std::size_t>(e.zone)]},
+                         {"kind", e.kind == 0 ? "large" : "small"},
+                         {"cell", e.destination},
+                         {"state", e.state == model::ListEntry::State::kReady         ? "Ready"
+                                   : e.state == model::ListEntry::State::kTerminating ? "Terminating"
+                                                                                      : "Gone"},
+                         {"weight", e.weight},
+                         {"started_ms", 0}});
+    }
+    return {{"version", list.version}, {"full", list.full}, {"servers", servers}};
+  }
+
+  void Start(int number) {
+    Relay& relay = relays_[static_cast<std::size_t>(number)];
+    if (relay.pid > 0) return;
+    const std::string name = "n" + std::to_string(number + 1), folder = options_.folder + "/" + name;
+    std::filesystem::create_directories(folder + "/state");
+    model::Dice dice(day_.seed, "relay-" + std::to_string(number) + "-" + std::to_string(relay.lives++));
+    std::ostringstream seed;
+    seed << std::hex << dice.Below(~0ull);
+    const Json config = {{"name", name},
+                         {"listen", relay.listen},
+                         {"discovery", "127.0.0.1:" + std::to_string(relay.discovery->port())},
+                         {"state", folder + "/state"},
+                         {"seed", seed.str()},
+                         {"limits",
+                          {{"memory_mb", scenario_.relay.memory_mb},
+                           {"sockets", scenario_.relay.sockets},
+                           {"disk_mb", scenario_.relay.disk_mb}}},
+                         {"known", ListJson(world_.Known(number), scenario_, ports_)},
+                         {"settings", Json::parse(SettingsOf(scenario_, day_, number))}};
+    std::ofstream(folder + "/config.json") << config.dump();
+    supervise::Program program;
+    program.path = options_.relay;
+    program.environment["ROUTER_CONFIG"] = folder + "/config.json";
+    program.log = folder + "/log";
+    std::string why;
+    relay.expected = relay.answers = false;
+    relay.kill_at = Time(0);
+    relay.pid = supervise::Start(program, &why);
+    if (relay.pid <= 0) throw std::runtime_error(options_.relay + ": " + why);
+  }
+
+  void Ping(int number) {
+    relays_[static_cast<std::size_t>(number)].pinging = true;
+    AskOn(NewLine(number), 0, standin::RespCommand({"PING"}));
+  }
+
+  void Look() {
+    look_.After(kLookEach);
+    const Time now = net::Loop::Now();
+    bool all_ready = true, all_gone = true;
+    for (std::size_t r = 0; r < relays_.size(); ++r) {
+      Relay& relay = relays_[r];
+      int status = 0;
+      rusage used{};
+      if (relay.pid > 0 && wait4(relay.pid, &status, WNOHANG, &used) == relay.pid) Gone(r, status, used);
+      if (relay.pid > 0 && relay.expected && relay.kill_at > 0us && now >= relay.kill_at) {
+        kill(relay.pid, SIGKILL);
+        relay.kill_at = Time(0);
+      }
+      if (relay.pid > 0 && !relay.answers && !relay.pinging) Ping(static_cast<int>(r));
+      all_ready = all_ready && relay.answers;
+      all_gone = all_gone && relay.pid <= 0;
+    }
+    if (ended_) {
+      if (all_gone) loop_.Stop();
+      return;
+    }
+    if (!begun() && all_ready) {
+      begun_ = now;
+      turn_.After(Time(0));
+    } else if (!begun() && now > ready_until_) {
+      Spoil("not all relays were ready within 20 s");
+    }
+  }
+
+  void Gone(std::size_t r, int status, const rusage& used) {
+    Relay& relay = relays_[r];
+    relay.pid = 0;
+    relay.answers = false;
+    const auto micro = [](const timeval& t) { return Time(t.tv_sec * 1'000'000 + t.tv_usec); };
+    outcome_.cpu += micro(used.ru_utime) + micro(used.ru_stime);
+    outcome_.peak_kb = std::max(outcome_.peak_kb, static_cast<std::uint64_t>(used.ru_maxrss));
+    const bool clean = relay.expected && (WIFSIGNALED(status) || WEXITSTATUS(status) == 0);
+    if (!clean && outcome_.crash.empty()) {
+      outcome_.crash = "n" + std::to_string(r + 1) +
+                       (WIFSIGNALED(status) ? " ended by signal " + std::to_string(WTERMSIG(status))
+                                            : " exited with " + std::to_string(WEXITSTATUS(status)));
+    }
+    if (!begun()) return Spoil("a relay ended before the day began: " + outcome_.crash);
+    Tell(model::RelayDown{static_cast<int>(r)});
+  }
+
+  void Do(const model::KillRelay& order) {
+    Relay& relay = relays_[static_cast<std::size_t>(order.relay)];
+    if (relay.pid <= 0) return;
+    relay.expected = true;
+    kill(relay.pid, SIGKILL);
+  }
+  void Do(const model::TerminateRelay& order) {
+    Relay& relay = relays_[static_cast<std::size_t>(order.relay)];
+    if (relay.pid <= 0) return;
+    relay.expected = true;
+    relay.kill_at = net::Loop::Now() + kKillAfter;
+    kill(relay.pid, SIGTERM);
+  }
+  void Do(const model::StartRelay& order) { Start(order.relay); }
+
+  // ---- clients ----
+
+  standin::ClientLine* NewLine(int relay) {
+    auto line = std::make_unique<standin::ClientLine>(
+        loop_, *this, relays_[static_cast<std::size_t>(relay)].address, Time(0));
+    if (!line->opened()) return nullptr;
+    standin::ClientLine* const opened = line.get();
+    lines_[opened] = {std::move(line), relay, 0, false, {}};
+    return opened;
+  }
+
+  void AskOn(standin::ClientLine* line, std::uint64_t hand, std::string request) {
+    if (line == nullptr) return Spoil("no socket for a client");
+    Seat& seat = lines_.at(line);
+    seat.hand = hand;
+    seat.request = request;
+    if (hand > 0) at_[hand] = line;
+    line->Ask(std::move(request));
+  }
+
+  void Do(const model::HandIn& in) {
+    relay_of_[in.id] = in.relay;
+    const auto left = std::max<std::int64_t>(1, in.left / 1ms);
+    const std::string values = "c=outbound,d=" + std::to_string(left) + ",k=" + in.key +
+                               ",dest=" + std::to_string(in.destination) + (in.refused_before ? ",r=1" : "") +
+                               (in.died_before ? ",again=1" : "");
+    std::string request = standin::RespCommand({"MSG.PUT", "0000000000000000", in.id, values, body_});
+    for (auto& [line, seat] : lines_) {
+      if (seat.relay == in.relay && seat.line->free() && !seat.request.empty()) {
+        seat.again = false;
+        return AskOn(line, in.hand, std::move(request));
+      }
+    }
+    AskOn(NewLine(in.relay), in.hand, std::move(request));
+  }
+  void Do(const model::LeaveHand& leave) {
+    const auto it = at_.find(leave.hand);
+    if (it == at_.end()) return;
+    standin::ClientLine* const line = it->second;
+    at_.erase(it);
+    Drop(*line);
+  }
+
+  void Drop(standin::ClientLine& line) {
+    const auto it = lines_.find(&line);
+    if (it == lines_.end()) return;
+    line.Close();
+    loop_.Dispose(std::move(it->second.line));
+    lines_.erase(it);
+  }
+
+  void OnAnswer(standin::ClientLine& line, const std::string& answer) override {
+    Seat& seat = lines_.at(&line);
+    const std::uint64_t hand = std::exchange(seat.hand, 0);
+    if (hand == 0) {
+      Relay& relay = relays_[static_cast<std::size_t>(seat.relay)];
+      relay.pinging = false;
+      if (answer == "+PONG" && !std::exchange(relay.answers, true)) Tell(model::RelayUp{seat.relay});
+      return;
+    }
+    at_.erase(hand);
+    using What = model::Answered::What;
+    if (answer[0] == '+' || answer[0] == '$') return Tell(model::Answered{hand, What::kTaken, Time(0)});
+    if (answer.rfind("-BUSY", 0) == 0) {
+      const Time wait(answer.size() > 6 ? std::atoll(answer.c_str() + 6) * 1000 : 0);
+      return Tell(model::Answered{hand, What::kTurnedAway, wait});
+    }
+    // An error is final for its client; nothing of ours is malformed, so it is told.
+    if (outcome_.crash.empty()) outcome_.crash = "a relay answered " + answer;
+    Tell(model::Answered{hand, What::kTurnedAway, Time(0)});
+  }
+
+  void OnBreak(standin::ClientLine& line, const standin::ClientLine::Break& how) override {
+    const Seat& seat = lines_.at(&line);
+    const int relay = seat.relay;
+    const std::uint64_t hand = seat.hand;
+    const bool once_more = how.asking && hand > 0 && how.unread && !seat.again;
+    std::string request = seat.request;
+    at_.erase(hand);
+    Drop(line);
+    if (hand == 0 && how.asking) relays_[static_cast<std::size_t>(relay)].pinging = false;  // not up yet
+    if (ended_ || hand == 0 || !how.asking) return;
+    if (once_more) {
+      standin::ClientLine* const next = NewLine(relay);
+      if (next != nullptr) lines_.at(next).again = true;
+      return AskOn(next, hand, std::move(request));
+    }
+    Tell(model::Answered{hand, model::Answered::What::kBroken, Time(0)});
+  }
+
+  // ---- issuer hosts ----
+
+  void HostStands(const std::string& address) {
+    HostAt& host = hosts_[address];
+    const auto port = ports_.find(address);
+    host.calls.clear();
+    host.server = std::make_unique<standin::HttpServer>(
+        loop_, port == ports_.end() ? 0 : port->second,
+        [this, address](std::uint64_t connection, const standin::Request& request) {
+          OnCall(address, connection, request);
+        },
+        [this, address](std::uint64_t connection) { OnLineGone(address, connection); });
+    ports_[address] = host.server->port();
+  }
+  void Do(const model::HostUp& up) { HostStands(up.address); }
+  void Do(const model::HostDown& down) {
+    HostAt& host = hosts_[down.address];
+    for (const auto& [connection, call] : host.calls) calls_.erase(call);
+    host.calls.clear();
+    loop_.Dispose(std::move(host.server));
+  }
+
+  void OnCall(const std::string& address, std::uint64_t connection, const standin::Request& request) {
+    HostAt& host = hosts_.at(address);
+    if (request.method != "POST" || request.target != "/inbox") {
+      if (outcome_.crash.empty()) outcome_.crash = "a relay called " + request.method + " " + request.target;
+      host.server->Write(connection, standin::Answer("400 Bad Request"));
+      return;
+    }
+    const auto [seat, fresh] = host.calls.emplace(connection, 0);
+    if (fresh) world_.Connect(address);
+    const std::uint64_t call = ++calls_made_;
+    seat->second = call;
+    calls_[call] = {address, connection};
+    const std::string id = request.Header("x-request-id");
+    const auto relay = relay_of_.find(id);
+    Tell(model::Called{call, relay == relay_of_.end() ? -1 : relay->second, address, id,
+                       request.Header("idempotency-key"), fresh});
+  }
+
+  void OnLineGone(const std::string& address, std::uint64_t connection) {
+    HostAt& host = hosts_.at(address);
+    const auto it = host.calls.find(connection);
+    if (it == host.calls.end()) return;
+    const std::uint64_t call = it->second;
+    host.calls.erase(it);
+    world_.Disconnect(address);
+    if (calls_.erase(call) > 0) Tell(model::Dropped{call});
+  }
+
+  void Do(const model::AnswerCall& answer) {
+    const auto it = calls_.find(answer.call);
+    if (it == calls_.end()) return;
+    const auto [address, connection] = it->second;
+    calls_.erase(it);
+    HostAt& host = hosts_.at(address);
+    if (const auto seat = host.calls.find(connection); seat != host.calls.end()) seat->second = 0;
+    std::string headers;
+    if (answer.wait > 0us) {
+      char text[60];
+      std::snprintf(text, sizeof text, "Retry-After: %.6f\r\n",
+                    static_cast<double>(answer.wait.count()) / 1e6);
+      headers = text;
+    }
+    const std::string status = std::to_string(answer.status) + " -";
+    if (host.server) host.server->Write(connection, standin::Answer(status.c_str(), {}, headers));
+  }
+  void Do(const model::BreakCall& broken) {
+    const auto it = calls_.find(broken.call);
+    if (it == calls_.end()) return;
+    const auto [address, connection] = it->second;
+    calls_.erase(it);
+    HostAt& host = hosts_.at(address);
+    host.calls.erase(connection);
+    if (host.server) host.server->Close(connection);
+  }
+
+  // ---- discovery and the platform ----
+
+  void OnDiscovery(std::size_t r, std::uint64_t connection, const standin::Request& request) {
+    Relay& relay = relays_[r];
+    const int number = static_cast<int>(r);
+    if (request.target == "/v1/outcomes") {
+      std::istringstream lines(request.body);
+      for (std::string line; std::getline(lines, line);) {
+        const Json notice = Json::parse(line, nullptr, false);
+        if (!notice.is_object()) continue;
+        Tell(model::Noticed{number, notice.value("id", ""), notice.value("status", "") == "deferred",
+                            Time(notice.value("again_ms", std::int64_t{0}) * 1000)});
+      }
+      relay.discovery->Write(connection, standin::Answer("204 No Content"));
+    } else if (request.target.find("watch=1") != std::string::npos) {
+      relay.watch = connection;
+      relay.discovery->Write(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      const std::size_t from = request.target.find("from=");
+      Tell(model::ListWanted{
+          number, from == std::string::npos ? 0 : std::atoll(request.target.c_str() + from + 5), true});
+    } else {
+      relay.fetches.push_back(connection);
+      Tell(model::ListWanted{number, 0, false});
+    }
+  }
+
+  void Do(const model::TellList& list) {
+    Relay& relay = relays_[static_cast<std::size_t>(list.relay)];
+    const std::string text = ListJson(list, scenario_, ports_).dump();
+    if (!list.fetched) {
+      if (relay.watch != 0) relay.discovery->Write(relay.watch, standin::Chunk(text + "\n"));
+      return;
+    }
+    for (const std::uint64_t connection : std::exchange(relay.fetches, {})) {
+      relay.discovery->Write(connection, standin::Answer("200 OK", text));
+    }
+  }
+
+  void Beat() {
+    beat_.After(kBeatEach);
+    for (Relay& relay : relays_) {
+      if (relay.watch != 0) relay.discovery->Write(relay.watch, standin::Chunk("\n"));
+    }
+  }
+
+  const model::Scenario& scenario_;
+  const model::Day& day_;
+  const StageOptions& options_;
+  check::Checker checker_;
+  check::Tally tally_;
+  model::World world_;
+  std::string body_;
+  net::Loop loop_;
+  net::Timer turn_, look_, beat_;
+  Time begun_{0}, told_{0}, ready_until_{0};
+  bool ended_ = false;
+  Outcome outcome_;
+  std::vector<model::Input> inputs_;
+  std::vector<Relay> relays_;
+  std::map<std::string, int> ports_;  // by the model's address
+  std::map<std::string, HostAt> hosts_;
+  std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> calls_;  // address and connection
+  std::uint64_t calls_made_ = 0;
+  std::map<std::string, int> relay_of_;  // an id was handed to
+  std::map<standin::ClientLine*, Seat> lines_;
+  std::map<std::uint64_t, standin::ClientLine*> at_;  // hands that wait for their answer
+};
+
+}  // namespace
+
+Outcome Play(const model::Scenario& scenario, const model::Day& day, const StageOptions& options) {
+  return Stage(scenario, day, options).Run();
+}
+
+}  // namespace oxbowspread::lab
--- /dev/null
+++ b/src/model/route.hpp
@@ -0,0 +1,53 @@
+// One issuer host as the platform describes it: a limit, servers and a queue, outages, and a cold return. No
+// I/O.
+#pragma once
+
+#include <deque>
+#include <queue>
+#include <vector>
+
+#include "model/day.hpp"
+
+namespace oxbowspread::model {
+
+class Route {
+ public:
+  // `fall_multiple` times its present capacity for `fall` seconds tips a cold host.
+  Route(const Host& host, double fall_multiple, double fall);
+
+  struct Verdict {
+    int status = 200;  // 200, 500, or 503 (429 if a wait is told)
+    Time answer_at{0};
+    Time wait{0};
+    bool over_limit = false;
+    bool tips = false;  // this call pushed it over
+  };
+  // A call's last byte comes. `now` never goes back.
+  Verdict Arrive(Time now, Dice& dice);
+
+  void Outage(Time now, double chance, Time until);
+  void Back(Time now);
+  bool down() const { return fallen_; }
+  // Share of its capacity that it has now, 1 when warm.
+  double Warmth(Time now) const;
+  const Host& host() const { return host_; }
+
+ private:
+  Verdict TurnAway(Time now, Time wait, bool over_limit, Dice& dice) const;
+  bool Pushed(Time now);
+
+  Host host_;
+  double fall_multiple_;
+  Time fall_;
+  double tokens_ = 0, most_tokens_ = 0;
+  Time tokens_at_{0};
+  std::priority_queue<Time, std::vector<Time>, std::greater<>> servers_;  // when each gets free
+  std::deque<Time> starts_;                                               // of calls that wait
+  bool out_ = false, fallen_ = false;
+  double chance_ = 0;
+  Time opens_{0};
+  Time cold_since_{-1};
+  std::deque<Time> pushes_;
+};
+
+}  // namespace oxbowspread::model
--- /dev/null
+++ b/src/trace/event.cpp
@@ -0,0 +1,86 @@
+#include "trace/event.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace oxbowspread::trace {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::array kNames = {"asked",      "handed",   "taken",   "turned-away", "left", "given-up",
+                               "called",     "answered", "dropped", "noticed",     "told", "ready",
+                               "terminated", "dead",     "outage",  "back",        "fell", "end"};
+static_assert(kNames.size() == static_cast<std::size_t>(Event::Kind::kEnd) + 1);
+
+// Each field once, for both ways.
+template <typename E, typename Visit>
+void Fields(E& e, Visit visit) {
+  visit("message", e.message);
+  visit("id", e.id);
+  visit("relay", e.relay);
+  visit("host", e.host);
+  visit("destination", e.destination);
+  visit("zone", e.zone);
+  visit("until_us", e.until);
+  visit("wait_us", e.wait);
+  visit("status", e.status);
+  visit("fresh", e.fresh);
+  visit("over_limit", e.over_limit);
+  visit("deferred", e.deferred);
+  visit("up", e.up);
+}
+
+}  // namespace
+
+const char* NameOf(Event::Kind kind) { return kNames[static_cast<std::size_t>(kind)]; }
+
+std::string ToLine(const Event& event) {
+  static const Event none;
+  Json json = {{"at_us", event.at.count()}, {"kind", NameOf(event.kind)}};
+  Json plain;
+  const auto put = [](Json& to) {
+    return [&to](const char* name, const auto& value) {
+      if constexpr (std::is_same_v<std::decay_t<decltype(value)>, Time>) {
+        to[name] = value.count();
+      } else {
+        to[name] = value;
+      }
+    };
+  };
+  Json all;
+  Fields(event, put(all));
+  Fields(none, put(plain));
+  for (const auto& [name, value] : all.items()) {
+    if (value != plain[name]) json[name] = value;
+  }
+  return json.dump();
+}
+
+Event FromLine(const std::string& line) {
+  try {
+    const Json json = Json::parse(line);
+    Event e;
+    e.at = Time(json.at("at_us").get<Time::rep>());
+    const std::string kind = json.at("kind");
+    std::size_t i = 0;
+    while (i < kNames.size() && kind != kNames[i]) ++i;
+    if (i == kNames.size()) throw std::runtime_error("kind: unknown: '" + kind + "'");
+    e.kind = static_cast<Event::Kind>(i);
+    Fields(e, [&](const char* name, auto& value) {
+      const auto it = json.find(name);
+      if (it == json.end()) return;
+      if constexpr (std::is_same_v<std::decay_t<decltype(value)>, Time>) {
+        value = Time(it->template get<Time::rep>());
+      } else {
+        it->get_to(value);
+      }
+    });
+    return e;
+  } catch (const Json::exception& e) {
+    throw std::runtime_error(std::string("no event: ") + e.what());
+  }
+}
+
+}  // namespace oxbowspread::trace
--- /dev/null
+++ b/tests/lab/hosts_test.cpp
@@ -0,0 +1,98 @@
+// The issuer side's book of hosts: what may be written to whom, and who owns an address.
+#include "issuer/hosts.hpp"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace {
+
+using namespace oxbowspread;
+using namespace std::chrono_literals;
+using issuer::Hosts;
+using wheathub::Lifecycle;
+using wheathub::ListScope;
+
+relay::Host Named(const std::string& id, const std::string& address, Lifecycle lifecycle = Lifecycle::kUp) {
+  relay::Host host;
+  host.info.id = id;
+  host.info.lifecycle = lifecycle;
+  host.address = address;
+  return host;
+}
+
+relay::RoutingChange Change(std::vector<relay::Host> hosts, ListScope scope = ListScope::kChanges) {
+  relay::RoutingChange change;
+  change.scope = scope;
+  change.hosts = std::move(hosts);
+  return change;
+}
+
+using Ids = std::vector<std::string>;
+
+bool May(const Hosts& hosts, const std::string& id, net::Time now, net::Time before = 1h) {
+  return Hosts::MayWrite(*hosts.Find(id), before, now);
+}
+
+}  // namespace
+
+TEST_CASE("hosts: a drain, a wait and a window each end what may be written", "[hosts]") {
+  Hosts hosts;
+  CHECK(hosts.Find("a") == nullptr);
+  hosts.Adopt(Change({Named("a", "127.0.0.1:1"), Named("b", "127.0.0.1:2")}), 10s);
+  CHECK(May(hosts, "a", 10s));
+  CHECK_FALSE(May(hosts, "a", 10s, 10s));
+  hosts.ToldWait("a", 2s, 11s);
+  hosts.ToldWait("a", 100ms, 11s + 10ms);  // a shorter one ends nothing
+  CHECK(May(hosts, "a", 11s + 50ms));      // was on its way
+  CHECK_FALSE(May(hosts, "a", 11s + 51ms));
+  CHECK_FALSE(May(hosts, "a", 13s - 1us));
+  CHECK(May(hosts, "a", 13s));
+  CHECK(May(hosts, "b", 12s));
+  hosts.ToldWait("none", 2s, 11s);
+  CHECK(hosts.Adopt(Change({Named("b", "127.0.0.1:2", Lifecycle::kDraining)}), 20s) == Ids{"b"});
+  CHECK(May(hosts, "b", 20s + 100ms));
+  CHECK_FALSE(May(hosts, "b", 20s + 101ms));
+  // Told once more it drains no later.
+  hosts.Adopt(Change({Named("b", "127.0.0.1:2", Lifecycle::kDraining)}), 21s);
+  CHECK_FALSE(May(hosts, "b", 21s));
+  hosts.Adopt(Change({Named("b", "127.0.0.1:2")}), 22s);
+  CHECK(May(hosts, "b", 22s));
+}
+
+TEST_CASE("hosts: an address belongs to the one that is up there", "[hosts]") {
+  Hosts hosts;
+  hosts.Adopt(Change({Named("old", "127.0.0.1:1")}), 1s);
+  // The new one comes before the old one is known to be gone.
+  CHECK(hosts.Adopt(Change({Named("new", "127.0.0.1:1")}), 2s) == Ids{"old"});
+  CHECK_FALSE(hosts.Find("old")->known);
+  CHECK(hosts.Find("new")->known);
+  CHECK_FALSE(May(hosts, "old", 2s));
+  // Told of late, the old one's drain does not take it back.
+  hosts.Adopt(Change({Named("old", "127.0.0.1:1", Lifecycle::kDraining)}), 3s);
+  CHECK(hosts.Find("new")->known);
+  CHECK_FALSE(hosts.Find("old")->known);
+  // The new one moves on, and the old one, up again, is at home.
+  CHECK(hosts.Adopt(Change({Named("new", "127.0.0.1:9")}), 4s) == Ids{"new"});
+  hosts.Adopt(Change({Named("old", "127.0.0.1:1")}), 5s);
+  CHECK(hosts.Find("old")->known);
+  CHECK(hosts.Find("new")->known);
+  hosts.Adopt(Change({Named("odd", "nowhere")}), 6s);
+  CHECK_FALSE(hosts.Find("odd")->known);
+}
+
+TEST_CASE("hosts: who is not in a whole list is gone, and forgotten after a while", "[hosts]") {
+  Hosts hosts;
+  hosts.Adopt(Change({Named("a", "127.0.0.1:1"), Named("b", "127.0.0.1:2")}, ListScope::kAll), 1s);
+  hosts.Adopt(Change({Named("a", "127.0.0.1:1")}, ListScope::kAll), 2s);
+  CHECK_FALSE(May(hosts, "b", 3s));
+  CHECK(hosts.Adopt(Change({}, ListScope::kFailed), 3s).empty());
+  CHECK(hosts.Find("a")->ready);
+  CHECK(hosts.LongGone(7s).empty());
+  CHECK(hosts.LongGone(7s + 1us) == Ids{"b"});
+  hosts.Forget("b");
+  CHECK(hosts.Find("b") == nullptr);
+  CHECK(hosts.size() == 1);
+  // Its address is free for another, which nothing of it spoils.
+  hosts.Adopt(Change({Named("c", "127.0.0.1:2")}), 9s);
+  CHECK(May(hosts, "c", 9s));
+}
--- /dev/null
+++ b/tests/lab/model_test.cpp
@@ -0,0 +1,279 @@
+// The model's parts, and whole days of it around real relays on a virtual clock.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include "lab/settings.hpp"
+#include "lab/simulation.hpp"
+#include "model/route.hpp"
+
+namespace {
+
+using namespace oxbowspread;
+using namespace std::chrono_literals;
+using model::Dice;
+using model::Host;
+using model::Route;
+using model::Time;
+
+Host Small() {
+  Host host;
+  host.id = "h";
+  host.limit = 4;
+  host.servers = 2;
+  host.work = 0.4;
+  host.queue = 3;
+  host.tells = 1;
+  host.wait = 0.5;
+  host.cold_from = 0.25;
+  host.cold = 10;
+  return host;
+}
+
+class Folder {
+ public:
+  Folder() : path_(std::filesystem::temp_directory_path() / ("oxbowlab-test-" + std::to_string(getpid()))) {
+    std::filesystem::create_directories(path_);
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  std::string Write(const std::string& name, const std::string& text) const {
+    const std::string path = (path_ / name).string();
+    std::ofstream(path) << text;
+    return path;
+  }
+  std::string path() const { return path_.string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+struct Played {
+  lab::Outcome outcome;
+  std::string trace;
+  std::vector<trace::Event> events;
+};
+
+Played Play(const std::string& yaml, std::uint64_t seed) {
+  Folder folder;
+  const model::Scenario scenario = model::ReadScenario(folder.Write("day.yaml", yaml));
+  const model::Day day = model::Draw(scenario, seed);
+  Played played;
+  lab::SimulationOptions options;
+  options.folder = folder.path() + "/relays";
+  options.trace = [&](const trace::Event& event) {
+    played.trace += trace::ToLine(event) + "\n";
+    played.events.push_back(event);
+  };
+  played.outcome = lab::Simulate(scenario, day, options);
+  return played;
+}
+
+std::string Why(const lab::Outcome& outcome) {
+  std::string all = outcome.crash;
+  for (const check::Breach& b : outcome.breaches) all += b.rule + " " + b.message + ": " + b.events + "\n";
+  return all;
+}
+
+std::size_t Count(const Played& played, trace::Event::Kind kind) {
+  std::size_t n = 0;
+  for (const trace::Event& e : played.events) n += e.kind == kind;
+  return n;
+}
+
+}  // namespace
+
+TEST_CASE("dice: a stream depends on its seed and its name alone", "[model]") {
+  Dice a(7, "x"), b(7, "x"), other(7, "y"), later(8, "x");
+  const double first = a.Share();
+  CHECK(first == b.Share());
+  CHECK(first != other.Share());
+  CHECK(first != later.Share());
+  double sum = 0, square = 0, exponential = 0;
+  constexpr int kDraws = 20'000;
+  for (int i = 0; i < kDraws; ++i) {
+    const double v = a.LogNormal(2, 0.5);
+    sum += v;
+    square += v * v;
+    exponential += a.Exponential(3);
+  }
+  const double mean = sum / kDraws;
+  CHECK(mean == Approx(2).epsilon(0.03));
+  CHECK(std::sqrt(square / kDraws - mean * mean) / mean == Approx(0.5).epsilon(0.1));
+  CHECK(exponential / kDraws == Approx(3).epsilon(0.05));
+}
+
+TEST_CASE("route: takes its limit and no more, and has room at the end of a told wait", "[model]") {
+  Route route(Small(), 2, 3);
+  Dice dice(1, "t");
+  int taken = 0;
+  Route::Verdict turned;
+  for (int i = 0; i < 10; ++i) {
+    const Route::Verdict v = route.Arrive(1s, dice);
+    taken += v.status == 200;
+    if (v.status != 200) turned = v;
+  }
+  CHECK(taken == 2);  // half a second of its limit at once
+  CHECK(turned.status == 429);
+  CHECK(turned.over_limit);
+  CHECK(turned.wait == 500ms);
+  CHECK(route.Arrive(1s + turned.wait, dice).status == 200);
+}
+
+TEST_CASE("route: shut it tells when it opens, failing it fails most, and both leave it cold", "[model]") {
+  Route route(Small(), 2, 3);
+  Dice dice(1, "t");
+  route.Outage(10s, 1, 15s);
+  const Route::Verdict shut = route.Arrive(12s, dice);
+  CHECK(shut.status == 429);
+  CHECK(shut.wait == 3s);
+  CHECK_FALSE(shut.over_limit);
+  route.Back(15s);
+  CHECK(route.Warmth(15s) == Approx(0.25));
+  CHECK(route.Warmth(20s) == Approx(0.625));
+  CHECK(route.Warmth(26s) == Approx(1));
+  Route failing(Small(), 2, 3);
+  failing.Outage(10s, 0.9, 60s);
+  int failed = 0;
+  for (int i = 0; i < 40; ++i) failed += failing.Arrive(10s + 1s * i, dice).status == 500;
+  CHECK(failed > 30);
+  CHECK(failed < 40);
+}
+
+TEST_CASE("route: a cold one is tipped by more than it can do, a warm one is not", "[model]") {
+  Dice dice(1, "t");
+  const auto tipped_by = [&](Time from, Time each) {
+    Route route(Small(), 2, 3);
+    route.Outage(1s, 1, 5s);
+    route.Back(5s);
+    for (Time at = from; at < from + 4s; at += each) {
+      if (route.Arrive(at, dice).tips) {
+        CHECK(route.down());
+        CHECK(route.Arrive(at + 60s, dice).status == 503);  // and stays down
+        return true;
+      }
+    }
+    return false;
+  };
+  // A quarter of 5 calls a second, two times, for 3 s: 7.5, and some slack for chance.
+  CHECK(tipped_by(5s, 100ms));
+  CHECK_FALSE(tipped_by(5s, 400ms));
+  CHECK_FALSE(tipped_by(20s, 100ms));
+}
+
+TEST_CASE("scenario: a fault names file, line and key", "[model]") {
+  Folder folder;
+  const auto fault = [&](const std::string& text) {
+    try {
+      model::ReadScenario(folder.Write("s.yaml", text));
+    } catch (const model::Error& e) {
+      return std::string(e.what()).substr(folder.path().size() + 1);
+    }
+    return std::string("none");
+  };
+  CHECK(fault("length: 20s\nrelays: 2\n") == "none");
+  CHECK(fault("lenght: 20s\n") == "s.yaml:1: lenght: is not a known key");
+  CHECK(fault("length: 20\n").find("s.yaml:1: length: must be a span") == 0);
+  CHECK(fault("length: [20s, 10s]\n") == "s.yaml:1: length: must not begin above its end");
+  CHECK(fault("length: 20s\ntraffic:\n  load: much\n").find("s.yaml:3: traffic.load: must be a number") == 0);
+  CHECK(fault("relays: 0\n").find("s.yaml:1: relays: ") == 0);
+  CHECK(fault("traffic: {shape: round}\n") == "s.yaml:1: traffic.shape: must be steady, wave or bursty");
+  CHECK(fault("troubles:\n  - earthquake: {at: 1s, for: 1s}\n")
+            .find("s.yaml:2: troubles.earthquake: must be one of ") == 0);
+  CHECK(fault("troubles:\n  - list_behind: {for: 1s}\n") == "s.yaml:2: troubles.list_behind.at: is missing");
+  CHECK(fault("troubles:\n  - list_behind: {at: 1s, for: 1s, share: 1}\n") ==
+        "s.yaml:2: troubles.list_behind.share: is not a known key");
+  CHECK(fault("relay: {aim: 5s, deadline: 2s}\n").find("s.yaml:1: relay.deadline: ") == 0);
+  CHECK(fault("a: [\n").find("s.yaml:2: YAML: ") == 0);
+}
+
+TEST_CASE("day: one part's draw never moves another's", "[model]") {
+  Folder folder;
+  const auto draw = [&](const std::string& text) {
+    return model::Draw(model::ReadScenario(folder.Write("d.yaml", text)), 5);
+  };
+  const model::Day plain = draw("length: 20s\n");
+  const model::Day killed =
+      draw("length: 20s\ntroubles:\n  - relays_killed: {at: 5s, for: 3s, share: 0.4}\n");
+  REQUIRE(plain.arrivals.size() == killed.arrivals.size());
+  CHECK(plain.arrivals.size() > 100);
+  for (std::size_t i = 0; i < plain.arrivals.size(); ++i)
+    CHECK(plain.arrivals[i].due == killed.arrivals[i].due);
+  REQUIRE(killed.turns.size() == 2);
+  CHECK(killed.turns[0].kind == model::Turn::Kind::kKill);
+  CHECK(killed.turns[1].kind == model::Turn::Kind::kStart);
+  // About as many as the load asks for.
+  const double expected = plain.load * plain.full_rate * 20;
+  CHECK(static_cast<double>(plain.arrivals.size()) == Approx(expected).epsilon(0.25));
+}
+
+TEST_CASE("simulation: the same seed gives the same bytes, another one another day", "[model]") {
+  const std::string yaml =
+      "length: 12s\ntroubles:\n  - relays_killed: {at: 4s, for: 3s, share: 0.4}\n"
+      "  - partners_fail: {at: 3s, for: 5s, share: 0.3}\n";
+  const Played once = Play(yaml, 3), twice = Play(yaml, 3), other = Play(yaml, 4);
+  CHECK(once.trace.size() > 10'000);
+  CHECK(once.trace == twice.trace);
+  CHECK(once.trace != other.trace);
+}
+
+TEST_CASE("simulation: every trouble is met by the relays without a broken rule", "[model]") {
+  struct Case {
+    const char* yaml;
+    trace::Event::Kind sign;
+    std::size_t least;
+  };
+  using Kind = trace::Event::Kind;
+  const std::vector<Case> cases = {
+      {"length: 15s\n", Kind::kAnswered, 100},
+      {"length: 15s\ntraffic: {load: 1.3, shape: bursty}\n", Kind::kAnswered, 300},
+      {"length: 15s\ntroubles:\n  - relays_killed: {at: 4s, for: 3s, share: 0.67}\n", Kind::kDead, 2},
+      {"length: 25s\ntroubles:\n  - relays_rolled: {at: 3s, for: 15s, share: 1, down: 0.5s}\n",
+       Kind::kTerminated, 3},
+      {"length: 20s\ntroubles:\n  - list_behind: {at: 2s, for: 10s, by: 5s}\n"
+       "  - hosts_replaced: {at: 3s, for: 4s, count: 4}\n"
+       "  - hosts_replaced: {at: 3s, for: 4s, count: 4, same_address: true}\n",
+       Kind::kTold, 12},
+      {"length: 25s\ntraffic: {load: 0.9}\ntroubles:\n  - partners_shut: {at: 3s, for: 8s, share: 0.3}\n",
+       Kind::kBack, 2},
+      {"length: 25s\ntraffic: {load: 0.9}\ntroubles:\n  - partners_down: {at: 3s, for: 8s, share: 0.4}\n",
+       Kind::kBack, 5},
+      {"length: 15s\ntroubles:\n  - partners_draw: {at: 3s, for: 8s, share: 0.24, count: 2}\n",
+       Kind::kAnswered, 100},
+  };
+  for (const Case& c : cases) {
+    for (const std::uint64_t seed : {1, 2}) {
+      const Played played = Play(c.yaml, seed);
+      INFO(c.yaml << "seed " << seed << "\n" << Why(played.outcome));
+      CHECK(played.outcome.breaches.empty());
+      CHECK(played.outcome.crash.empty());
+      CHECK_FALSE(played.outcome.cut_short);
+      CHECK(Count(played, c.sign) >= c.least);
+      CHECK(played.outcome.figures.whole > 0.5);
+    }
+  }
+}
+
+TEST_CASE("simulation: what a killed relay had taken on ends all the same", "[model]") {
+  const Played played =
+      Play("length: 12s\ntraffic: {load: 1}\ntroubles:\n  - relays_killed: {at: 6s, for: 3s, share: 1}\n", 1);
+  INFO(Why(played.outcome));
+  CHECK(played.outcome.breaches.empty());
+  std::set<std::string> taken, ended, owed_at_death;
+  for (const trace::Event& e : played.events) {
+    if (e.kind == trace::Event::Kind::kTaken) taken.insert(e.id);
+    if (e.kind == trace::Event::Kind::kNoticed) ended.insert(e.id);
+    if (e.kind == trace::Event::Kind::kAnswered && e.status == 200) ended.insert(e.id);
+    if (e.kind == trace::Event::Kind::kDead && owed_at_death.empty()) {
+      for (const std::string& id : taken) {
+        if (ended.count(id) == 0) owed_at_death.insert(id);
+      }
+    }
+  }
+  CHECK(owed_at_death.size() > 5);
+  for (const std::string& id : owed_at_death) CHECK(ended.count(id) == 1);
+}
--- /dev/null
+++ b/tests/lab/program_test.cpp
@@ -0,0 +1,146 @@
+// oxbowlab as a program, and days on sockets around real relay processes.
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "results/child.hpp"
+
+namespace {
+
+using oxbowspread::results::Ran;
+using oxbowspread::results::RunToEnd;
+using Json = nlohmann::json;
+
+class Folder {
+ public:
+  Folder()
+      : path_(std::filesystem::temp_directory_path() / ("oxbowlab-program-" + std::to_string(getpid()))) {
+    std::filesystem::create_directories(path_);
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  std::string operator/(const std::string& name) const { return (path_ / name).string(); }
+  std::string Write(const std::string& name, const std::string& text) const {
+    std::ofstream(*this / name) << text;
+    return *this / name;
+  }
+
+ private:
+  std::filesystem::path path_;
+};
+
+Ran Lab(std::vector<std::string> words) {
+  words.insert(words.begin(), OXBOWLAB);
+  return RunToEnd(words);
+}
+
+std::string Read(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+const char kDay[] =
+    "length: 6s\npartners: {count: 6}\ntroubles:\n  - relays_killed: {at: 2s, for: 1s, share: 0.34}\n"
+    "  - relays_rolled: {at: 4s, for: 1s, share: 0.34, down: 0.3s}\n"
+    "  - hosts_replaced: {at: 1s, for: 1s, count: 2, same_address: true}\n";
+
+}  // namespace
+
+TEST_CASE("oxbowlab run: a day on sockets keeps every rule and delivers what the simulation does", "[lab]") {
+  Folder folder;
+  const std::string file = folder.Write("day.yaml", kDay);
+  const Ran run =
+      Lab({"run", file, "--seed", "2", "--json", "--relay", OXBOWSPREAD, "--trace", folder / "trace"});
+  INFO(run.out << run.err);
+  REQUIRE((run.exit_code == 0 || run.exit_code == 1));
+  const Json played = Json::parse(run.out),
+             simulated = Json::parse(Lab({"sim", file, "--seed", "2", "--json"}).out);
+  CHECK(played["breaches"].empty());
+  CHECK(played["crash"] == "");
+  // The same messages: what is asked depends on the day alone.
+  CHECK(played["figures"]["asked"] == simulated["figures"]["asked"]);
+  CHECK(played["figures"]["asked"].get<int>() > 50);
+  CHECK(played["figures"]["delivered"].get<int>() >= simulated["figures"]["delivered"].get<int>() * 0.9);
+  CHECK(played["cpu_us"].get<int>() > 0);
+  CHECK(played["peak_kb"].get<int>() > 1000);
+  const std::string trace = Read(folder / "trace");
+  CHECK(trace.find("\"kind\":\"dead\"") != std::string::npos);
+  CHECK(trace.find("\"kind\":\"terminated\"") != std::string::npos);
+  // The kept trace says the same, and says so when it is cut short.
+  CHECK(Lab({"check", folder / "trace", "--scenario", file}).exit_code == 0);
+  const Ran cut = Lab({"check", folder.Write("cut", trace.substr(0, trace.size() / 2))});
+  CHECK(cut.exit_code == 1);
+  CHECK(cut.out.find("cut short with ") != std::string::npos);
+}
+
+TEST_CASE("oxbowlab run: a relay that can't start, or dies by itself, is told and not scored", "[lab]") {
+  Folder folder;
+  const std::string file = folder.Write("day.yaml", "length: 2s\npartners: {count: 3}\n");
+  const Ran none = Lab({"run", file, "--relay", folder / "no-such-program"});
+  CHECK(none.exit_code == 2);
+  CHECK(none.err.find("no-such-program") != std::string::npos);
+  const std::string dies = folder.Write("dies", "#!/bin/sh\nexit 7\n");
+  std::filesystem::permissions(dies, std::filesystem::perms::owner_all);
+  const Ran died = Lab({"run", file, "--json", "--relay", dies});
+  CHECK(died.exit_code == 1);
+  CHECK(Json::parse(died.out)["crash"].get<std::string>().find("exited with 7") != std::string::npos);
+}
+
+TEST_CASE("oxbowlab: bad input is one line and exit code 2", "[lab]") {
+  Folder folder;
+  const std::string good = folder.Write("day.yaml", "length: 2s\n"),
+                    bad = folder.Write("bad.yaml", "lenght: 2s\n");
+  const std::vector<std::vector<std::string>> cases = {
+      {},
+      {"sim"},
+      {"sim", folder / "none.yaml"},
+      {"sim", bad},
+      {"sim", good, "--seed", "x"},
+      {"sim", good, "--set", "traffic.lod=1"},
+      {"sim", good, "--set", "traffic.load=much"},
+      {"sim", good, "--set", "length.x=1"},
+      {"sim", good, "--trace", folder / "no/such/folder"},
+      {"check", folder / "none"},
+      {"check", folder.Write("trace", "{\"at_us\":1,\"kind\":\"sent\"}\n")},
+      {"sweep", good, bad, "--out", folder / "results"},
+      {"sweep", good, "--out", folder / "results", "--seeds", "5-1"},
+      {"compare", folder / "none", "a", "b"},
+      {"report", folder / "none", "--out", folder / "page"},
+  };
+  for (const auto& words : cases) {
+    const Ran ran = Lab(words);
+    INFO(Json(words).dump() << " " << ran.err);
+    CHECK(ran.exit_code == 2);
+    CHECK(std::count(ran.err.begin(), ran.err.end(), '\n') == 1);
+    CHECK(ran.out.empty());
+  }
+  CHECK_FALSE(std::filesystem::exists(folder / "results"));
+}
+
+TEST_CASE("oxbowlab sweep: goes on where it stood, and its results can be compared and drawn", "[lab]") {
+  Folder folder;
+  const std::string file = folder.Write("day.yaml", "length: 4s\npartners: {count: 4}\n");
+  const auto sweep = [&](const std::string& seeds) {
+    return Lab(
+        {"sweep", file, "--out", folder / "results", "--seeds", seeds, "--set", "traffic.load=0.4,1.2"});
+  };
+  CHECK(sweep("1-2").out == "4 days: 4 played, 0 known already, 0 not clean\n");
+  CHECK(sweep("1-3").out == "6 days: 2 played, 4 known already, 0 not clean\n");
+  const std::string csv = Lab({"export", folder / "results"}).out;
+  CHECK(std::count(csv.begin(), csv.end(), '\n') == 7);
+  const Json table = Json::parse(Lab({"compare", folder / "results", "now:traffic.load=0.4",
+                                      "now:traffic.load=1.2", "--figure", "asked", "--json"})
+                                     .out);
+  REQUIRE(table.size() == 2);
+  CHECK(table[1]["pairs"] == 3);
+  CHECK(table[1]["low"].get<double>() > 0);  // three times the load asks for more, on every day
+  const Ran report = Lab({"report", folder / "results", "--out", folder / "page.html"});
+  CHECK(report.exit_code == 0);
+  CHECK(Read(folder / "page.html").find("<svg") != std::string::npos);
+}
--- /dev/null
+++ b/tests/lab/results_test.cpp
@@ -0,0 +1,179 @@
+// Experiments: plans, kept results, comparisons, tables and charts.
+#include "results/results.hpp"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+
+#include "results/child.hpp"
+#include "results/compare.hpp"
+#include "results/report.hpp"
+#include "results/sweep.hpp"
+
+namespace {
+
+using namespace oxbowspread;
+using results::Json;
+using results::Key;
+using results::Row;
+
+Row Played(const std::string& label, const std::string& scenario, std::uint64_t seed, double service,
+           const std::string& variant = {}, const std::string& driver = "sim") {
+  Json report = {{"figures", {{"service", service}, {"asked", 100}, {"delivered", 90}, {"calls", 120}}},
+                 {"breaches", Json::array()},
+                 {"crash", ""},
+                 {"spoilt", ""}};
+  report["figures"]["worth_by_second"] = {1.0, 0.5, -1.0};
+  report["figures"]["deliver_ms"] = {{"50", 300.0}, {"99", 2000.0}};
+  report["figures"]["partners"] = {{{"partner", 0}, {"asked", 100}, {"calls", 120}, {"refused", 6}}};
+  report["turns"] = {{{"at_s", 1.5}, {"what", "relay \"killed\" <1>"}}};
+  return {{label, scenario, "t1", variant, seed, driver}, report};
+}
+
+class File {
+ public:
+  File()
+      : path_((std::filesystem::temp_directory_path() / ("oxbow-results-" + std::to_string(getpid())))
+                  .string()) {
+    std::filesystem::remove(path_);
+  }
+  ~File() { std::filesystem::remove(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+}  // namespace
+
+TEST_CASE("sweep: seeds and variants as they are written", "[results]") {
+  CHECK(results::ReadSeeds("1-3,9") == std::vector<std::uint64_t>{1, 2, 3, 9});
+  for (const char* bad : {"", "3-1", "a", "1-", "1,,2", "1-99999999999"}) {
+    CHECK_THROWS_AS(results::ReadSeeds(bad), std::runtime_error);
+  }
+  CHECK(results::ReadVariants({}) == std::vector<std::string>{""});
+  CHECK(results::ReadVariants({"a=1,2", "b.c=[3,4],5"}) ==
+        std::vector<std::string>{"a=1 b.c=[3,4]", "a=1 b.c=5", "a=2 b.c=[3,4]", "a=2 b.c=5"});
+  CHECK(results::SettingsIn("a=1 b.c=[3,4]") == std::vector<std::string>{"a=1", "b.c=[3,4]"});
+  for (const char* bad : {"a", "=1", "a=", "a=1 2"}) {
+    CHECK_THROWS_AS(results::ReadVariants({bad}), std::runtime_error);
+  }
+}
+
+TEST_CASE("results: are there after the file was closed, and only under their key", "[results]") {
+  File file;
+  const Row row = Played("now", "calm", 18'000'000'000'000'000'000ull, 0.9);
+  {
+    results::Results kept(file.path());
+    CHECK_FALSE(kept.Has(row.key));
+    kept.Put(row);
+    kept.Put(Played("now", "calm", 2, 0.8));
+  }
+  results::Results kept(file.path());
+  CHECK(kept.Has(row.key));
+  Key other = row.key;
+  other.text = "t2";
+  CHECK_FALSE(kept.Has(other));
+  const auto rows = kept.All();
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].key.seed == 2);
+  CHECK(rows[1].key == row.key);
+  CHECK(rows[1].Number("figures/service") == 0.9);
+  CHECK(std::isnan(rows[1].Number("figures/none")));
+  CHECK(results::ToCsv({Played("a,b", "calm", 1, 0.5)}) ==
+        "label,scenario,variant,seed,driver,clean,service,asked,delivered,calls\n"
+        "\"a,b\",calm,,1,sim,1,0.5,100,90,120\n");
+}
+
+TEST_CASE("compare: pairs by day, leaves out what is not clean, and says how sure", "[results]") {
+  std::vector<Row> rows;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const double luck = 0.01 * static_cast<double>(seed);
+    rows.push_back(Played("old", "calm", seed, 0.5 + luck));
+    rows.push_back(Played("new", "calm", seed, 0.52 + luck + (seed % 2 == 0 ? 0.001 : -0.001)));
+  }
+  rows.push_back(Played("old", "calm", 99, 0));  // without a partner
+  Row broken = Played("old", "busy", 1, 0);
+  broken.report["crash"] = "n1 ended by signal 6";
+  rows.push_back(broken);
+  rows.push_back(Played("new", "busy", 1, 1));
+  const auto table =
+      results::Compare(rows, results::ReadSelector("old"), results::ReadSelector("new"), "figures/service");
+  REQUIRE(table.size() == 2);
+  CHECK(table[0].scenario == "calm");
+  CHECK(table[0].pairs == 20);
+  CHECK(table[0].mean == Approx(0.02));
+  // Though the days differ by far more than the two labels, the interval is narrow: it is of the differences.
+  CHECK(table[0].low > 0.0190);
+  CHECK(table[0].high < 0.0210);
+  CHECK(table[0].low < 0.02);
+  CHECK(table[1].scenario == "all");
+  CHECK(table[1].pairs == 20);
+}
+
+TEST_CASE("compare: variants and drivers against one another", "[results]") {
+  std::vector<Row> rows;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    rows.push_back(Played("now", "calm", seed, 0.5, "relay.slots=1"));
+    rows.push_back(Played("now", "calm", seed, 0.7));
+    rows.push_back(Played("now", "calm", seed, 0.6, "", "run"));
+  }
+  const auto difference = [&](const char* a, const char* b) {
+    const auto table =
+        results::Compare(rows, results::ReadSelector(a), results::ReadSelector(b), "figures/service");
+    return std::pair(table.back().pairs, table.back().mean);
+  };
+  CHECK(difference("now:@sim", "now:relay.slots=1@sim").first == 3);
+  CHECK(difference("now:@sim", "now:relay.slots=1@sim").second == Approx(-0.2));
+  CHECK(difference("now:@sim", "now:@run").first == 3);
+  CHECK(difference("now:@sim", "now:@run").second == Approx(-0.1));
+  CHECK(difference("now", "then").first == 0);
+}
+
+TEST_CASE("bootstrap: of values that differ the interval holds their mean, of one it is that value",
+          "[results]") {
+  const auto one = results::Bootstrap({0.3}, 1);
+  CHECK(one.first == 0.3);
+  CHECK(one.second == 0.3);
+  std::vector<double> values;
+  for (int i = 0; i < 100; ++i) values.push_back(i % 2);
+  const auto [low, high] = results::Bootstrap(values, 1);
+  // 1.96 standard errors of 0.05 to each side.
+  CHECK(low == Approx(0.402).margin(0.02));
+  CHECK(high == Approx(0.598).margin(0.02));
+  CHECK(results::Bootstrap(values, 1) == std::pair(low, high));
+}
+
+TEST_CASE("report: one page with a chart for each question, its texts escaped", "[results]") {
+  const std::vector<Row> rows = {Played("now", "calm", 1, 0.9),
+                                 Played("now", "calm", 1, 0.8, "relay.slots=1"),
+                                 Played("now", "calm", 1, 0.85, "relay.slots=2")};
+  const auto charts = results::ChartsOf(rows);
+  std::vector<std::string> names;
+  for (const auto& chart : charts) names.push_back(chart.name);
+  CHECK(names == std::vector<std::string>{"service", "curve-relay.slots-1", "time-calm", "latency-calm",
+                                          "partners-calm"});
+  std::vector<std::string> svg;
+  for (const auto& chart : charts) svg.push_back(results::Draw(chart));
+  CHECK(svg[2].find("&lt;1") != std::string::npos);
+  CHECK(svg[2].find("<1>") == std::string::npos);
+  const std::string page = results::Page(rows, charts, svg);
+  std::size_t drawn = 0;
+  for (std::size_t at = page.find("<svg"); at != page.npos; at = page.find("<svg", at + 1)) ++drawn;
+  CHECK(drawn == charts.size());
+  CHECK(page.find("0.850") != std::string::npos);
+  CHECK(page.find("http://") == page.find("http://www.w3.org"));  // nothing is fetched
+  CHECK_THROWS_AS(results::Draw({"t", "n", "plot nonsense(\n"}), std::runtime_error);
+}
+
+TEST_CASE("child: output, errors and exit code, also of more than a pipe holds", "[results]") {
+  const auto ran = results::RunToEnd({"/bin/sh", "-c", "yes x | head -c 300000; echo bad >&2; exit 3"});
+  CHECK(ran.exit_code == 3);
+  CHECK(ran.out.size() == 300000);
+  CHECK(ran.err == "bad\n");
+  CHECK(results::RunToEnd({"/bin/sh", "-c", "kill -9 $$"}).exit_code == -1);
+  CHECK_THROWS_AS(results::RunToEnd({"/no/such/program"}), std::runtime_error);
+}
