--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -70,7 +70,11 @@
   if (fresh) line = NewLine(order.host, *host);
   if (line == nullptr) return Fail(order, Outcome::kNotSent);
   out_[order.leg] = line;
-  if (fresh) connecting_.emplace(net::Loop::Now() + limits_.connect_timeout, line);
+  Unlist(*line);
+  if (fresh && limits_.connect_timeout > 0s) {
+    connect_by_[line] = net::Loop::Now() + limits_.connect_timeout;
+    connecting_.emplace(connect_by_[line], line);
+  }
   line->Carry(std::move(order));
 }
 
@@ -110,20 +114,14 @@
 }
 
 bool Issuer::CloseLongestIdle() {
-  Line* longest = nullptr;
-  for (const auto& [id, lines] : pools_) {
-    for (const auto& line : lines) {
-      if (line->busy() || (longest != nullptr && line->free_since() >= longest->free_since())) continue;
-      longest = line.get();
-    }
-  }
-  if (longest == nullptr) return false;
+  if (idle_.empty()) return false;
   counters_.lines_evicted += 1;
-  Remove(*longest);
+  Remove(*idle_.begin()->second);
   return true;
 }
 
 std::optional<std::string> Issuer::OnWritable(Line& line) {
+  Unlist(line);
   const relay::LegOrder& order = line.order();
   const Host* const host = hosts_.Find(line.host());
   const net::Time now = net::Loop::Now();
@@ -136,10 +134,9 @@
   return CallText(order, order.give_up_at - now);
 }
 
-void Issuer::OnEnd(Line& line, const relay::LegEnd& end) {
-  const auto it = std::find_if(out_.begin(), out_.end(), [&](const auto& o) { return o.second == &line; });
-  if (it == out_.end()) return;
-  const relay::LegId leg = it->first;
+void Issuer::OnEnd(Line& line, const relay::LegId& leg, const relay::LegEnd& end) {
+  const auto it = out_.find(leg);
+  if (it == out_.end() || it->second != &line) return;
   out_.erase(it);
   if (end.told_wait > 0s) hosts_.ToldWait(line.host(), end.told_wait, net::Loop::Now());
   if (end.outcome == Outcome::kNoConnection) counters_.line_failures += 1;
@@ -148,7 +145,8 @@
 
 void Issuer::OnFree(Line& line) {
   const Host* const host = hosts_.Find(line.host());
-  if (host == nullptr || !host->ready || !host->known || !StandsAt(line, *host)) Remove(line);
+  if (host == nullptr || !host->ready || !host->known || !StandsAt(line, *host)) return Remove(line);
+  idle_.emplace(line.free_since(), &line);
 }
 
 void Issuer::OnLost(Line& line) { Remove(line); }
@@ -162,6 +160,15 @@
   Remove(line);
 }
 
+void Issuer::Unlist(const Line& line) {
+  Line* const key = const_cast<Line*>(&line);
+  idle_.erase({line.free_since(), key});
+  const auto by = connect_by_.find(&line);
+  if (by == connect_by_.end()) return;
+  connecting_.erase({by->second, key});
+  connect_by_.erase(by);
+}
+
 void Issuer::Remove(Line& line) {
   line.Cut();
   const auto pool = pools_.find(line.host());
@@ -169,7 +176,7 @@
   Lines& lines = pool->second;
   const auto it = std::find_if(lines.begin(), lines.end(), [&](const auto& l) { return l.get() == &line; });
   if (it == lines.end()) return;
-  std::erase_if(connecting_, [&](const auto& c) { return c.second == &line; });
+  Unlist(line);
   loop_.Dispose(std::move(*it));
   lines.erase(it);
   if (lines.empty()) pools_.erase(pool);
@@ -179,11 +186,12 @@
 void Issuer::Sweep() {
   sweep_timer_.After(kSweepEach);
   const net::Time now = net::Loop::Now();
-  while (limits_.connect_timeout > 0s && !connecting_.empty() && connecting_.begin()->first <= now) {
+  while (!connecting_.empty() && connecting_.begin()->first <= now) {
     Line* const line = connecting_.begin()->second;
-    connecting_.erase(connecting_.begin());
+    Unlist(*line);
     if (line->connected()) continue;
-    OnEnd(*line, {Outcome::kNoConnection, false, net::Time(0)});
+    const relay::LegId leg = line->order().leg;
+    OnEnd(*line, leg, {Outcome::kNoConnection, false, net::Time(0)});
     Remove(*line);
   }
   for (const std::string& id : hosts_.LongGone(now)) {
@@ -192,15 +200,9 @@
   if (limits_.keepalive <= 0s) return;
   const auto keep =
       net::Time(static_cast<net::Time::rep>(static_cast<double>(limits_.keepalive.count()) * kKeepShare));
-  std::vector<Line*> old;
-  for (const auto& [id, lines] : pools_) {
-    for (const auto& line : lines) {
-      if (!line->busy() && line->connected() && now - line->free_since() > keep) old.push_back(line.get());
-    }
-  }
-  for (Line* const line : old) {
+  while (!idle_.empty() && now - idle_.begin()->first > keep) {
     counters_.lines_idled += 1;
-    Remove(*line);
+    Remove(*idle_.begin()->second);
   }
 }
 
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -3,7 +3,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "issuer/hosts.hpp"
@@ -37,7 +39,7 @@
   using Lines = std::vector<std::unique_ptr<Line>>;
 
   std::optional<std::string> OnWritable(Line& line) override;
-  void OnEnd(Line& line, const relay::LegEnd& end) override;
+  void OnEnd(Line& line, const relay::LegId& leg, const relay::LegEnd& end) override;
   void OnFree(Line& line) override;
   void OnLost(Line& line) override;
   void OnSpoilt() override { counters_.answers_spoilt += 1; }
@@ -46,6 +48,8 @@
   Line* NewLine(const std::string& id, const Host& host);
   bool CloseLongestIdle();
   void Remove(Line& line);
+  // Neither connecting nor idle any more, as far as the two lists know.
+  void Unlist(const Line& line);
   void Fail(const relay::LegOrder& order, wheathub::Outcome outcome);
   void Sweep();
 
@@ -56,7 +60,10 @@
   Hosts hosts_;
   std::map<std::string, Lines> pools_;  // by host; none is empty
   std::map<relay::LegId, Line*> out_;
-  std::multimap<net::Time, Line*> connecting_;
+  // Those that connect, by when they must have, and those that are idle, by since when: with thousands of
+  // lines none is looked for among all.
+  std::set<std::pair<net::Time, Line*>> connecting_, idle_;
+  std::map<const Line*, net::Time> connect_by_;
   std::size_t lines_ = 0;
   std::vector<std::pair<relay::LegId, wheathub::Outcome>> failed_;
   net::Timer failed_timer_;
--- a/src/issuer/line.cpp
+++ b/src/issuer/line.cpp
@@ -119,8 +119,9 @@
 }
 
 void Line::EndLeg(const relay::LegEnd& end) {
+  const relay::LegId leg = std::move(order_->leg);
   order_.reset();
-  owner_.OnEnd(*this, end);
+  owner_.OnEnd(*this, leg, end);
 }
 
 void Line::Spoilt() {
--- a/src/issuer/line.hpp
+++ b/src/issuer/line.hpp
@@ -19,10 +19,11 @@
     virtual ~Owner() = default;
     // Connected: the call's bytes, or nothing if it may not be written any more.
     virtual std::optional<std::string> OnWritable(Line& line) = 0;
-    virtual void OnEnd(Line& line, const relay::LegEnd& end) = 0;  // of the call; the line lives on
-    virtual void OnFree(Line& line) = 0;                           // ready for the next call
-    virtual void OnLost(Line& line) = 0;                           // no use any more
-    virtual void OnSpoilt() = 0;                                   // an answer that can't be read
+    // Of the call that was that leg; the line lives on.
+    virtual void OnEnd(Line& line, const relay::LegId& leg, const relay::LegEnd& end) = 0;
+    virtual void OnFree(Line& line) = 0;  // ready for the next call
+    virtual void OnLost(Line& line) = 0;  // no use any more
+    virtual void OnSpoilt() = 0;          // an answer that can't be read
   };
 
   // A line belongs to a host and an address: another host may get the address, the host another address.
