--- a/src/apps/oxbowlab.cpp
+++ b/src/apps/oxbowlab.cpp
@@ -23,6 +23,7 @@
 #include "results/compare.hpp"
 #include "results/report.hpp"
 #include "results/results.hpp"
+#include "results/search.hpp"
 #include "results/sweep.hpp"
 
 namespace {
@@ -131,6 +132,22 @@
 }
 
 // Each day is a process of its own: one that crashes takes nothing with it.
+results::Row PlayApart(const Sweep& sweep, const Work& work) {
+  std::vector<std::string> words = {sweep.program, sweep.driver, work.file,
+                                    "--json",      "--seed",     std::to_string(work.key.seed)};
+  for (const std::string& set : results::SettingsIn(work.key.variant)) {
+    words.insert(words.end(), {"--set", set});
+  }
+  if (sweep.driver == "run") words.insert(words.end(), {"--relay", sweep.relay});
+  const results::Ran ran = results::RunToEnd(words);
+  if (ran.exit_code != 0 && ran.exit_code != kBroken) {
+    throw std::runtime_error(
+        work.key.scenario + " seed " + std::to_string(work.key.seed) + ": " +
+        (ran.exit_code < 0 ? "ended by a signal" : ran.err.substr(0, ran.err.find('\n'))));
+  }
+  return {work.key, Json::parse(ran.out)};
+}
+
 int RunSweep(const Sweep& sweep) {
   const std::vector<Work> all = PlanOf(sweep);
   results::Results kept(sweep.out);
@@ -147,20 +164,8 @@
   const auto play = [&] {
     for (std::size_t i = next++; i < open.size(); i = next++) {
       const Work& work = *open[i];
-      std::vector<std::string> words = {sweep.program, sweep.driver, work.file,
-                                        "--json",      "--seed",     std::to_string(work.key.seed)};
-      for (const std::string& set : results::SettingsIn(work.key.variant)) {
-        words.insert(words.end(), {"--set", set});
-      }
-      if (sweep.driver == "run") words.insert(words.end(), {"--relay", sweep.relay});
       try {
-        const results::Ran ran = results::RunToEnd(words);
-        if (ran.exit_code != 0 && ran.exit_code != kBroken) {
-          throw std::runtime_error(
-              work.key.scenario + " seed " + std::to_string(work.key.seed) + ": " +
-              (ran.exit_code < 0 ? "ended by a signal" : ran.err.substr(0, ran.err.find('\n'))));
-        }
-        const results::Row row{work.key, Json::parse(ran.out)};
+        const results::Row row = PlayApart(sweep, work);
         const std::lock_guard<std::mutex> hold(lock);
         kept.Put(row);
         ++done;
@@ -187,6 +192,53 @@
   return bad == 0 ? 0 : kBroken;
 }
 
+// The highest value at which every seed's day stays within the bounds.
+int RunSearch(const Sweep& sweep, const std::string& key, double low, double high, double tolerance,
+              const results::Bounds& bounds) {
+  if (!(low < high)) throw std::runtime_error("search: --from must be below --to");
+  const auto seeds = results::ReadSeeds(sweep.seeds);
+  const auto setting = [&](double value) {
+    char text[40];
+    std::snprintf(text, sizeof text, "%g", value);
+    return key + "=" + text;
+  };
+  const std::string& file = sweep.scenarios.front();
+  // All faults come before anything is played.
+  const std::string fixed = results::ReadVariants(sweep.sets).front();
+  const auto variant = [&](double value) { return fixed + (fixed.empty() ? "" : " ") + setting(value); };
+  const model::Scenario scenario = model::ReadScenario(file, results::SettingsIn(variant(low)));
+  model::ReadScenario(file, results::SettingsIn(variant(high)));
+  std::printf("%-28s %6s %10s %10s %10s   within\n", "setting", "days", "p99 ms", "refused", "delivered");
+  const auto good = [&](double value) {
+    double p99 = 0, refused = 0, delivered = 1;
+    bool all = true;
+    for (const std::uint64_t seed : seeds) {
+      const results::Row row = PlayApart(
+          sweep, {{"search", scenario.name, scenario.version, variant(value), seed, sweep.driver}, file});
+      const double asked = std::max(1.0, row.Number("figures/asked"));
+      p99 = std::max(p99, row.Number("figures/deliver_p99_ms"));
+      refused = std::max(refused, (row.Number("figures/turned_away") + row.Number("figures/unanswered") +
+                                   row.Number("figures/deferred")) /
+                                      asked);
+      delivered = std::min(delivered, row.Number("figures/delivered") / asked);
+      all = results::Within(row, bounds) && all;
+    }
+    std::printf("%-28s %6zu %10.0f %10.4f %10.4f   %s\n", setting(value).c_str(), seeds.size(), p99, refused,
+                delivered, all ? "yes" : "no");
+    std::fflush(stdout);
+    return all;
+  };
+  const auto tried = results::Search(low, high, tolerance, good);
+  double best = low;
+  bool any = false;
+  for (const results::Tried& t : tried) {
+    if (t.good) best = std::max(best, t.value), any = true;
+  }
+  std::printf(any ? "highest within: %s%s\n" : "none within: not even %s%s\n", setting(best).c_str(),
+              any && best >= high ? ", the end of the span" : "");
+  return any ? 0 : kBroken;
+}
+
 int Compare(const std::string& file, const std::string& a, const std::string& b, const std::string& figure,
             bool json) {
   const auto rows = results::Results(file).All();
@@ -274,6 +326,24 @@
   many->add_option("--jobs", sweep.jobs, "days at once (one a core; 2 with run)")->check(CLI::Range(1, 256));
   many->add_option("--relay", sweep.relay, "with run: the relay's program");
 
+  std::string key = "traffic.load";
+  double low = 0.1, high = 3, tolerance = 0.02;
+  results::Bounds bounds;
+  CLI::App* const search = app.add_subcommand("search", "the highest value of a setting within bounds");
+  std::string one_file;
+  search->add_option("SCENARIO", one_file, "YAML file")->required();
+  search->add_option("--key", key, "the setting (traffic.load)");
+  search->add_option("--from", low, "good, one hopes (0.1)");
+  search->add_option("--to", high, "not good, one hopes (3)");
+  search->add_option("--tolerance", tolerance, "of the answer (0.02)")->check(CLI::Range(0.0001, 1.0));
+  search->add_option("--p99-ms", bounds.deliver_p99_ms, "of delivery, from when due, at most (3000)");
+  search->add_option("--refused", bounds.refused, "turned away, given back or unanswered, a message (0.01)");
+  search->add_option("--delivered", bounds.delivered, "share of the messages, at least (0.99)");
+  search->add_option("--seeds", sweep.seeds, "all of which must be within (1-5)");
+  search->add_option("--set", sweep.sets, "KEY=VALUE laid over the scenario");
+  search->add_option("--driver", sweep.driver, "sim or run (sim)")->check(CLI::IsMember({"sim", "run"}));
+  search->add_option("--relay", sweep.relay, "with run: the relay's program");
+
   std::string a, b, figure = "service", out, svg_folder;
   bool json = false;
   CLI::App* const compare = app.add_subcommand("compare", "two labels or variants, paired by day");
@@ -294,6 +364,10 @@
     if (sim->parsed() || run->parsed()) return Play(day, run->parsed());
     if (check->parsed()) return Check(file, scenario_file);
     if (many->parsed()) return RunSweep(sweep);
+    if (search->parsed()) {
+      sweep.scenarios = {one_file};
+      return RunSearch(sweep, key, low, high, tolerance, bounds);
+    }
     for (CLI::App* const one : {compare, csv, report}) {
       if (one->parsed() && !std::filesystem::exists(file)) throw std::runtime_error(file + ": is not there");
     }
--- a/src/model/day.cpp
+++ b/src/model/day.cpp
@@ -285,6 +285,7 @@
     }
     const auto shape = [&](double at) {
       if (t.shape == Scenario::Traffic::Shape::kSteady) return 1.0;
+      if (t.shape == Scenario::Traffic::Shape::kRamp) return 1 - swing + 2 * swing * at / length;
       if (t.shape == Scenario::Traffic::Shape::kWave) {
         return 1 + swing * std::sin(2 * std::numbers::pi * (at / period + phase));
       }
--- a/src/model/scenario.cpp
+++ b/src/model/scenario.cpp
@@ -91,9 +91,11 @@
       const std::map<std::string, Scenario::Traffic::Shape> shapes = {
           {"steady", Scenario::Traffic::Shape::kSteady},
           {"wave", Scenario::Traffic::Shape::kWave},
-          {"bursty", Scenario::Traffic::Shape::kBursty}};
+          {"bursty", Scenario::Traffic::Shape::kBursty},
+          {"ramp", Scenario::Traffic::Shape::kRamp}};
       const auto it = shapes.find(shape);
-      if (it == shapes.end()) Fail(node["shape"].Mark(), "traffic.shape", "must be steady, wave or bursty");
+      if (it == shapes.end())
+        Fail(node["shape"].Mark(), "traffic.shape", "must be steady, wave, bursty or ramp");
       t->shape = it->second;
     }
     Ranged(node, "swing", "traffic.", 0, 0.95, &t->swing);
--- a/src/model/scenario.hpp
+++ b/src/model/scenario.hpp
@@ -45,7 +45,7 @@
 
   struct Traffic {
     Range load{0.5, 0.5};  // of full load
-    enum class Shape { kSteady, kWave, kBursty } shape = Shape::kWave;
+    enum class Shape { kSteady, kWave, kBursty, kRamp } shape = Shape::kWave;
     Range swing{0.1, 0.3};
     Range clumps{0.052, 0.18};  // share of the messages that come in clumps for one partner
     Range clump{1.6, 3};        // a clump's size in seconds of its partner's limit
--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -181,7 +181,8 @@
   CHECK(fault("length: [20s, 10s]\n") == "s.yaml:1: length: must not begin above its end");
   CHECK(fault("length: 20s\ntraffic:\n  load: much\n").find("s.yaml:3: traffic.load: must be a number") == 0);
   CHECK(fault("relays: 0\n").find("s.yaml:1: relays: ") == 0);
-  CHECK(fault("traffic: {shape: round}\n") == "s.yaml:1: traffic.shape: must be steady, wave or bursty");
+  CHECK(fault("traffic: {shape: round}\n") ==
+        "s.yaml:1: traffic.shape: must be steady, wave, bursty or ramp");
   CHECK(fault("troubles:\n  - earthquake: {at: 1s, for: 1s}\n")
             .find("s.yaml:2: troubles.earthquake: must be one of ") == 0);
   CHECK(fault("troubles:\n  - list_behind: {for: 1s}\n") == "s.yaml:2: troubles.list_behind.at: is missing");
@@ -211,6 +212,23 @@
   CHECK(static_cast<double>(plain.arrivals.size()) == Approx(expected).epsilon(0.25));
 }
 
+TEST_CASE("day: a ramp begins low and ends high", "[model]") {
+  Folder folder;
+  const model::Day day = model::Draw(
+      model::ReadScenario(folder.Write(
+          "r.yaml",
+          "length: 40s\ntraffic: {load: 1, shape: ramp, swing: 0.8, clumps: 0}\npartners: {count: 30}\n")),
+      1);
+  std::size_t early = 0, late = 0;
+  for (const model::Arrival& a : day.arrivals) {
+    if (a.due < 10s) ++early;
+    if (a.due >= 30s) ++late;
+  }
+  // Over the first quarter 0.4 of the mean rate on average, over the last 1.6.
+  CHECK(early > 100);
+  CHECK(static_cast<double>(late) / static_cast<double>(early) == Approx(4).epsilon(0.2));
+}
+
 TEST_CASE("simulation: the same seed gives the same bytes, another one another day", "[model]") {
   const std::string yaml =
       "length: 12s\ntroubles:\n  - relays_killed: {at: 4s, for: 3s, share: 0.4}\n"
--- a/tests/lab/program_test.cpp
+++ b/tests/lab/program_test.cpp
@@ -110,6 +110,8 @@
       {"check", folder.Write("trace", "{\"at_us\":1,\"kind\":\"sent\"}\n")},
       {"sweep", good, bad, "--out", folder / "results"},
       {"sweep", good, "--out", folder / "results", "--seeds", "5-1"},
+      {"search", good, "--from", "2", "--to", "1"},
+      {"search", good, "--key", "traffic.lod"},
       {"compare", folder / "none", "a", "b"},
       {"report", folder / "none", "--out", folder / "page"},
   };
@@ -144,3 +146,17 @@
   CHECK(report.exit_code == 0);
   CHECK(Read(folder / "page.html").find("<svg") != std::string::npos);
 }
+
+TEST_CASE("oxbowlab search: finds the load that a day can carry", "[lab]") {
+  Folder folder;
+  const std::string file =
+      folder.Write("day.yaml", "length: 10s\npartners: {count: 6}\ntraffic: {shape: steady, clumps: 0}\n");
+  const Ran ran = Lab({"search", file, "--seeds", "1", "--from", "0.1", "--to", "6", "--tolerance", "0.2",
+                       "--refused", "0.05", "--p99-ms", "8000", "--delivered", "0.95"});
+  INFO(ran.out << ran.err);
+  CHECK(ran.exit_code == 0);
+  CHECK(ran.out.find("traffic.load=0.1 ") != std::string::npos);
+  CHECK(ran.out.find("traffic.load=6 ") != std::string::npos);
+  CHECK(ran.out.find("highest within: traffic.load=") != std::string::npos);
+  CHECK(ran.out.find("the end of the span") == std::string::npos);
+}
--- a/tests/lab/results_test.cpp
+++ b/tests/lab/results_test.cpp
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <filesystem>
@@ -11,6 +12,7 @@
 #include "results/child.hpp"
 #include "results/compare.hpp"
 #include "results/report.hpp"
+#include "results/search.hpp"
 #include "results/sweep.hpp"
 
 namespace {
@@ -177,3 +179,40 @@
   CHECK(results::RunToEnd({"/bin/sh", "-c", "kill -9 $$"}).exit_code == -1);
   CHECK_THROWS_AS(results::RunToEnd({"/no/such/program"}), std::runtime_error);
 }
+
+TEST_CASE("search: the highest value that is good, to the tolerance, and none where none is", "[results]") {
+  const auto highest = [](double edge) {
+    double best = -1;
+    const auto tried = results::Search(1, 5, 0.01, [&](double v) { return v <= edge; });
+    for (const results::Tried& t : tried) {
+      CHECK(t.good == (t.value <= edge));
+      if (t.good) best = std::max(best, t.value);
+    }
+    CHECK(tried.size() < 12);
+    return best;
+  };
+  CHECK(highest(3.3) <= 3.3);
+  CHECK(highest(3.3) > 3.3 * 0.985);
+  CHECK(highest(9) == 5);
+  CHECK(highest(0.5) == -1);
+}
+
+TEST_CASE("search: each bound by itself takes a day out, and so does a broken rule", "[results]") {
+  Row row = Played("now", "calm", 1, 0.9);
+  row.report["figures"] = {{"asked", 1000},    {"delivered", 990}, {"deliver_p99_ms", 3000.0},
+                           {"turned_away", 5}, {"unanswered", 3},  {"deferred", 2}};
+  CHECK(results::Within(row, {}));
+  const auto with = [&](const char* figure, double value) {
+    Row other = row;
+    other.report["figures"][figure] = value;
+    return results::Within(other, {});
+  };
+  CHECK_FALSE(with("delivered", 989));
+  CHECK_FALSE(with("deliver_p99_ms", 3001));
+  CHECK_FALSE(with("turned_away", 6));
+  CHECK_FALSE(with("unanswered", 4));
+  CHECK_FALSE(with("deferred", 3));
+  CHECK_FALSE(with("asked", 0));
+  row.report["breaches"].push_back({{"rule", "lost"}});
+  CHECK_FALSE(results::Within(row, {}));
+}
