--- a/src/apps/oxbowlab.cpp
+++ b/src/apps/oxbowlab.cpp
@@ -52,8 +52,8 @@
     if (!trace) throw yaml::Error(wanted.trace + ": can't be written");
     keep = [&](const trace::Event& event) { trace << trace::ToLine(event) << "\n"; };
   }
-  const lab::Outcome outcome = on_sockets ? lab::Play(scenario, day, {wanted.relay, folder, keep, {}})
-                                          : lab::Simulate(scenario, day, {folder, keep, {}});
+  const lab::Outcome outcome = on_sockets ? lab::Play(scenario, day, {wanted.relay, folder, keep})
+                                          : lab::Simulate(scenario, day, {folder, keep});
   if (wanted.json) {
     std::cout << lab::ReportOf(outcome, day, scenario.name).dump() << "\n";
   } else {
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -31,11 +31,10 @@
 using namespace oxbowspread;
 using relay::Phase;
 
-// From SIGTERM; SIGKILL comes 3.7 s after it at the earliest.
-constexpr net::Time kDoorOpen = 500ms;   // new connections keep coming for up to 400 ms
-constexpr net::Time kSettleAt = 3100ms;  // nothing new is sent from then on
-constexpr net::Time kStopAt = 3550ms;    // what is still out is left to the next life
-constexpr net::Time kLookEach = 20ms;    // whether all is done
+using relay::kDoorOpen;
+using relay::kLookEach;
+using relay::kSettleAt;
+using relay::kStopAt;
 constexpr net::Time kPausedLookEach = 100ms;
 
 // Exit codes. 1: something that can't work, by README's rule for the start.
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -9,14 +9,6 @@
 using wheathub::Outcome;
 using namespace std::chrono_literals;
 
-constexpr net::Time kSweepEach = 200ms;
-// A host closes an idle line at its keepalive at the latest, and what is written to it from then on is a
-// reset that may have run: lines are retired while the host surely still holds them.
-constexpr double kKeepShare = 0.8;
-// What follows an answer that brought more than belongs to it may come a moment later, and must not be taken
-// for the answer to the next call.
-constexpr net::Time kRest = 30ms;
-
 bool StandsAt(const Line& line, const Host& host) {
   return line.address().sin_addr.s_addr == host.to.sin_addr.s_addr &&
          line.address().sin_port == host.to.sin_port;
@@ -160,12 +152,11 @@
   Remove(line);
 }
 
-void Issuer::Unlist(const Line& line) {
-  Line* const key = const_cast<Line*>(&line);
-  idle_.erase({line.free_since(), key});
+void Issuer::Unlist(Line& line) {
+  idle_.erase({line.free_since(), &line});
   const auto by = connect_by_.find(&line);
   if (by == connect_by_.end()) return;
-  connecting_.erase({by->second, key});
+  connecting_.erase({by->second, &line});
   connect_by_.erase(by);
 }
 
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -49,7 +49,7 @@
   bool CloseLongestIdle();
   void Remove(Line& line);
   // Neither connecting nor idle any more, as far as the two lists know.
-  void Unlist(const Line& line);
+  void Unlist(Line& line);
   void Fail(const relay::LegOrder& order, wheathub::Outcome outcome);
   void Sweep();
 
@@ -63,7 +63,7 @@
   // Those that connect, by when they must have, and those that are idle, by since when: with thousands of
   // lines none is looked for among all.
   std::set<std::pair<net::Time, Line*>> connecting_, idle_;
-  std::map<const Line*, net::Time> connect_by_;
+  std::map<Line*, net::Time> connect_by_;
   std::size_t lines_ = 0;
   std::vector<std::pair<relay::LegId, wheathub::Outcome>> failed_;
   net::Timer failed_timer_;
--- a/src/issuer/line.hpp
+++ b/src/issuer/line.hpp
@@ -12,6 +12,14 @@
 
 namespace oxbowspread::issuer {
 
+// A host closes an idle line at its keepalive at the latest, and what is written to it from then on is a
+// reset that may have run: lines are retired after this share of it, while the host surely still holds them.
+inline constexpr double kKeepShare = 0.8;
+// What follows an answer that brought more than belongs to it may come a moment later, and must not be taken
+// for the answer to the next call.
+inline constexpr net::Time kRest{30'000};
+inline constexpr net::Time kSweepEach{200'000};  // for old lines and hosts
+
 class Line final : public net::Connection::User, private proto::HttpReader::Handler {
  public:
   class Owner {
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "issuer/line.hpp"
+#include "relay/phase.hpp"
 
 namespace oxbowspread::lab {
 namespace {
@@ -16,10 +17,14 @@
 // The relay's own clocks: never near 0, which some spans use for "not yet".
 constexpr Time kMonotonic = 1000s;
 constexpr Time kUnix = 1'700'000'000s;
-// As in issuer::Issuer and the program's main.
-constexpr Time kSweepEach = 200ms, kRest = 30ms;
-constexpr double kKeepShare = 0.8;
-constexpr Time kDoorOpen = 500ms, kSettleAt = 3100ms, kStopAt = 3550ms, kLookEach = 20ms;
+// The figures of the issuer side and of the program's end.
+using issuer::kKeepShare;
+using issuer::kRest;
+using issuer::kSweepEach;
+using relay::kDoorOpen;
+using relay::kLookEach;
+using relay::kSettleAt;
+using relay::kStopAt;
 
 std::ostream& Nowhere() {
   static std::ostream none(nullptr);
--- a/src/lab/outcome.hpp
+++ b/src/lab/outcome.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "check/checker.hpp"
@@ -28,7 +29,32 @@
 };
 
 using OnTrace = std::function<void(const trace::Event&)>;
-using OnProgress =
-    std::function<void(trace::Time now, trace::Time length)>;  // about once a second of the day
+
+// Sees all that crosses on one day: the checker, the tally, and whoever keeps the trace, in this order.
+class Witness {
+ public:
+  // `trace` may be empty.
+  Witness(const check::Rules& rules, const check::Terms& terms, OnTrace trace)
+      : checker_(rules), tally_(terms), trace_(std::move(trace)) {}
+
+  // In the order of time.
+  void See(const trace::Event& event) {
+    checker_.See(event);
+    tally_.See(event);
+    if (trace_) trace_(event);
+  }
+  // After the last event: what was seen goes into the outcome, the rest of which is left as it is.
+  void Conclude(Outcome* outcome) {
+    checker_.Finish();
+    outcome->breaches = checker_.breaches();
+    outcome->cut_short = checker_.cut_short();
+    outcome->figures = tally_.Sum();
+  }
+
+ private:
+  check::Checker checker_;
+  check::Tally tally_;
+  OnTrace trace_;
+};
 
 }  // namespace oxbowspread::lab
--- a/src/lab/settings.cpp
+++ b/src/lab/settings.cpp
@@ -55,6 +55,11 @@
   return settings.dump();
 }
 
+std::uint64_t SeedOf(const model::Day& day, int relay, int life) {
+  model::Dice dice(day.seed, "relay-" + std::to_string(relay) + "-" + std::to_string(life));
+  return dice.Below(~0ull);
+}
+
 check::Rules RulesOf(const model::Scenario& s) {
   check::Rules rules;
   rules.repeat_window = Seconds(s.relay.window);
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <queue>
+#include <utility>
 
 #include "lab/settings.hpp"
 #include "wire.hpp"
@@ -10,17 +11,14 @@
 namespace oxbowspread::lab {
 namespace {
 
-using namespace std::chrono_literals;
-
 class Simulation final : public Node::Around {
  public:
   Simulation(const model::Scenario& scenario, const model::Day& day, const SimulationOptions& options)
       : scenario_(scenario),
         day_(day),
         options_(options),
-        checker_(RulesOf(scenario)),
-        tally_(TermsOf(scenario)),
-        world_(scenario, day, [this](const trace::Event& event) { See(event); }),
+        witness_(RulesOf(scenario), TermsOf(scenario), options.trace),
+        world_(scenario, day, [this](const trace::Event& event) { witness_.See(event); }),
         body_(static_cast<std::size_t>(scenario.traffic.body), 'b'),
         lives_(static_cast<std::size_t>(day.relays)) {
     std::filesystem::remove_all(options_.folder);
@@ -41,21 +39,16 @@
     Outcome outcome;
     try {
       for (int r = 0; r < day_.relays; ++r) Start(r);
-      Time told{0};
       while (!world_.done()) {
         Time next = world_.wake_at();
         if (!calendar_.empty()) next = std::min(next, calendar_.top().at);
         if (inputs_.empty()) now_ = std::max(now_, next);
         Moment();
-        if (options_.progress && now_ - told >= 1s) options_.progress(told = now_, day_.length);
       }
     } catch (const std::exception& e) {
       outcome.crash = e.what();
     }
-    checker_.Finish();
-    outcome.breaches = checker_.breaches();
-    outcome.cut_short = checker_.cut_short();
-    outcome.figures = tally_.Sum();
+    witness_.Conclude(&outcome);
     outcome.length = now_;
     outcome.turns = turns_;
     outcome.most_held = most_held_;
@@ -73,16 +66,14 @@
     bool operator>(const Entry& other) const { return at != other.at ? at > other.at : order > other.order; }
   };
 
-  // All that happens now, until nothing more does.
+  // What is due now, then what the world makes of it. What follows from that at once is the next moment.
   void Moment() {
     while (!calendar_.empty() && calendar_.top().at <= now_) {
       const std::function<void()> what = std::move(const_cast<Entry&>(calendar_.top()).what);
       calendar_.pop();
       what();
     }
-    const std::vector<model::Input> inputs(std::make_move_iterator(inputs_.begin()),
-                                           std::make_move_iterator(inputs_.end()));
-    inputs_.clear();
+    const std::vector<model::Input> inputs = std::exchange(inputs_, {});
     for (const model::Effect& effect : world_.Step(now_, inputs)) {
       std::visit([this](const auto& e) { Do(e); }, effect);
     }
@@ -130,8 +121,7 @@
     options.folder = options_.folder + "/relay" + std::to_string(relay);
     options.disk_bytes = static_cast<std::size_t>(scenario_.relay.disk_mb * 1e6);
     options.most_lines = static_cast<std::size_t>(scenario_.relay.sockets) / 2;
-    model::Dice dice(day_.seed, "relay-" + std::to_string(relay) + "-" + std::to_string(lives_[r]++));
-    options.seed = dice.Below(~0ull);
+    options.seed = SeedOf(day_, relay, lives_[r]++);
     nodes_[r] = std::make_unique<Node>(options, settings_[r], *this, world_.Known(relay));
     Tell(model::RelayUp{relay});
   }
@@ -144,12 +134,6 @@
     Tell(model::RelayDown{relay});
   }
 
-  void See(const trace::Event& event) {
-    checker_.See(event);
-    tally_.See(event);
-    if (options_.trace) options_.trace(event);
-  }
-
   // Node::Around
   Time Now() const override { return now_; }
   void At(Time moment, std::function<void()> what) override {
@@ -168,8 +152,7 @@
   const model::Scenario& scenario_;
   const model::Day& day_;
   const SimulationOptions& options_;
-  check::Checker checker_;
-  check::Tally tally_;
+  Witness witness_;
   model::World world_;
   std::string body_;
   std::vector<wheathub::Settings> settings_;
--- a/src/lab/simulation.hpp
+++ b/src/lab/simulation.hpp
@@ -2,11 +2,7 @@
 // scenario, seed and program give the same events.
 #pragma once
 
-#include <cstdint>
-#include <functional>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "lab/node.hpp"
 #include "lab/outcome.hpp"
@@ -15,12 +11,12 @@
 namespace oxbowspread::lab {
 
 struct SimulationOptions {
-  std::string folder;   // for the relays' journals; made, and removed at the end
-  OnTrace trace;        // told all events, after the checker; may be empty
-  OnProgress progress;  // may be empty
+  std::string folder;  // for the relays' journals; emptied if it is there, and removed at the end
+  OnTrace trace;       // told all events, after the checker; may be empty
 };
 
-// Throws std::runtime_error where the folder can't be used.
+// Throws std::filesystem::filesystem_error where the folder can't be used, and wheathub's
+// std::invalid_argument where the scenario's settings can't work. Whatever a relay throws later is its crash.
 Outcome Simulate(const model::Scenario& scenario, const model::Day& day, const SimulationOptions& options);
 
 }  // namespace oxbowspread::lab
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -36,9 +36,8 @@
       : scenario_(scenario),
         day_(day),
         options_(options),
-        checker_(RulesOf(scenario)),
-        tally_(TermsOf(scenario)),
-        world_(scenario, day, [this](const trace::Event& event) { See(event); }),
+        witness_(RulesOf(scenario), TermsOf(scenario), options.trace),
+        world_(scenario, day, [this](const trace::Event& event) { witness_.See(event); }),
         body_(static_cast<std::size_t>(scenario.traffic.body), 'b'),
         turn_(loop_, [this] { Turn(); }),
         look_(loop_, [this] { Look(); }),
@@ -78,10 +77,7 @@
     look_.After(kLookEach);
     beat_.After(kBeatEach);
     loop_.Run();
-    checker_.Finish();
-    outcome_.breaches = checker_.breaches();
-    outcome_.cut_short = checker_.cut_short();
-    outcome_.figures = tally_.Sum();
+    witness_.Conclude(&outcome_);
     outcome_.lateness = world_.lateness();
     if (outcome_.spoilt.empty() && outcome_.lateness > options_.most_late) {
       outcome_.spoilt = "the load was up to " + std::to_string(outcome_.lateness / 1ms) + " ms late";
@@ -134,17 +130,10 @@
         std::visit([this](const auto& e) { Do(e); }, effect);
       }
     } while (!inputs_.empty());
-    if (options_.progress && Day() - told_ >= 1s) options_.progress(told_ = Day(), day_.length);
     if (world_.done()) return End();
     turn_.After(std::max(Time(0), world_.wake_at() - Day()));
   }
 
-  void See(const trace::Event& event) {
-    checker_.See(event);
-    tally_.See(event);
-    if (options_.trace) options_.trace(event);
-  }
-
   void End() {
     outcome_.length = Day();
     ended_ = true;
@@ -188,9 +177,8 @@
     if (relay.pid > 0) return;
     const std::string name = "n" + std::to_string(number + 1), folder = options_.folder + "/" + name;
     std::filesystem::create_directories(folder + "/state");
-    model::Dice dice(day_.seed, "relay-" + std::to_string(number) + "-" + std::to_string(relay.lives++));
     std::ostringstream seed;
-    seed << std::hex << dice.Below(~0ull);
+    seed << std::hex << SeedOf(day_, number, relay.lives++);
     const Json config = {{"name", name},
                          {"listen", relay.listen},
                          {"discovery", "127.0.0.1:" + std::to_string(relay.discovery->port())},
@@ -400,14 +388,15 @@
       return;
     }
     const auto [seat, fresh] = host.calls.emplace(connection, 0);
-    if (fresh) world_.Connect(address);
+    const bool crowded = fresh && !world_.Connect(address);
     const std::uint64_t call = ++calls_made_;
     seat->second = call;
     calls_[call] = {address, connection};
     const std::string id = request.Header("x-request-id");
     const auto relay = relay_of_.find(id);
     Tell(model::Called{call, relay == relay_of_.end() ? -1 : relay->second, address, id,
-                       request.Header("idempotency-key"), fresh});
+                       request.Header("idempotency-key"), fresh, crowded});
+    if (crowded) host.calls.erase(connection);  // no seat is given back for it
   }
 
   void OnLineGone(const std::string& address, std::uint64_t connection) {
@@ -495,13 +484,12 @@
   const model::Scenario& scenario_;
   const model::Day& day_;
   const StageOptions& options_;
-  check::Checker checker_;
-  check::Tally tally_;
+  Witness witness_;
   model::World world_;
   std::string body_;
   net::Loop loop_;
   net::Timer turn_, look_, beat_;
-  Time begun_{0}, told_{0}, ready_until_{0};
+  Time begun_{0}, ready_until_{0};
   bool ended_ = false;
   Outcome outcome_;
   std::vector<model::Input> inputs_;
--- a/src/lab/stage.hpp
+++ b/src/lab/stage.hpp
@@ -2,7 +2,6 @@
 // process and its one thread: how late they were is measured, and a run that they spoilt says so.
 #pragma once
 
-#include <memory>
 #include <string>
 
 #include "lab/outcome.hpp"
@@ -11,11 +10,11 @@
 namespace oxbowspread::lab {
 
 struct StageOptions {
-  std::string relay;   // the program
-  std::string folder;  // for states, configurations and logs; made, and removed at a clean end
-  OnTrace trace;
-  OnProgress progress;
-  model::Time most_late{25'000};  // a load that came later than this spoils the run
+  std::string relay;  // the program
+  std::string
+      folder;     // for states, configurations and logs; emptied if it is there, and removed at a clean end
+  OnTrace trace;  // told all events, after the checker; may be empty
+  model::Time most_late{25'000};  // in microseconds: a load that came later than this spoils the run
 };
 
 // Blocks until the day is over; all processes that it started have ended then. Throws std::runtime_error
--- a/src/model/day.hpp
+++ b/src/model/day.hpp
@@ -38,10 +38,11 @@
   enum class Kind { kKill, kTerminate, kStart, kOutage, kBack, kDrain, kGone, kAdd, kLag };
   Time at{0};
   Kind kind = Kind::kLag;
-  int index = -1;    // of the relay or the host
-  double value = 0;  // kTerminate: s down after its end. kOutage: chance that a call fails; 1 and above: shut
-                     // kLag: s added from now on. kOutage: see until
-  Time until{0};     // kOutage: when it ends
+  int index = -1;  // of the relay or the host
+  // kTerminate: seconds down after its end. kOutage: chance that a call fails, 1 and above: shut. kLag:
+  // seconds by which the list is later from now on.
+  double value = 0;
+  Time until{0};  // kOutage: when it ends
 };
 
 struct Day {
@@ -59,6 +60,7 @@
   double honour = 0;
 };
 
+// The same scenario and seed give the same day. Never fails on a scenario that ReadScenario gave.
 Day Draw(const Scenario& scenario, std::uint64_t seed);
 
 }  // namespace oxbowspread::model
--- a/src/model/route.hpp
+++ b/src/model/route.hpp
@@ -1,5 +1,6 @@
-// One issuer host as the platform describes it: a limit, servers and a queue, outages, and a cold return. No
-// I/O.
+// One issuer host as the platform describes it: a limit, servers and a queue, outages, and a cold return.
+// Times in microseconds since the day began, which never go back from one call to the next. No I/O; nothing
+// fails.
 #pragma once
 
 #include <deque>
@@ -25,8 +26,11 @@
   // A call's last byte comes. `now` never goes back.
   Verdict Arrive(Time now, Dice& dice);
 
+  // From `now` on a call fails with that chance; with 1 and above it is shut, and tells to wait until
+  // `until`. It lasts until Back, after which the host is cold.
   void Outage(Time now, double chance, Time until);
   void Back(Time now);
+  // Pushed over: it turns everything away for good.
   bool down() const { return fallen_; }
   // Share of its capacity that it has now, 1 when warm.
   double Warmth(Time now) const;
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -42,7 +42,7 @@
     connections_.push_back(0);
     if (!host.from_start) continue;
     at_address_[host.address] = h;
-    changes_.push_back({EntryOf(h, ListEntry::State::kReady)});
+    changes_.push_back(EntryOf(h, ListEntry::State::kReady));
   }
   published_ = changes_.size();
   relays_.resize(static_cast<std::size_t>(day_.relays));
@@ -333,6 +333,7 @@
   call.id = called.id;
   call.key = called.key;
   call.fresh = called.fresh;
+  call.crowded = called.crowded;
   trace::Event event = EventOf(Kind::kCalled, call);
   event.fresh = called.fresh;
   sink_(event);
@@ -363,6 +364,10 @@
     call.status = 400;
     return Add(now_ + back, Todo::kCallAnswered, number);
   }
+  if (call.crowded) {
+    call.status = 503;
+    return Add(now_ + back, Todo::kCallAnswered, number);
+  }
   if (effects_had_.count(effect) > 0) {
     call.status = 200;
     return Add(now_ + kRepeatAnswered + back, Todo::kCallAnswered, number);
@@ -470,7 +475,7 @@
 }
 
 void World::ListChanged(std::size_t host, ListEntry::State state) {
-  changes_.push_back({EntryOf(host, state)});
+  changes_.push_back(EntryOf(host, state));
   last_publish_ = std::max(last_publish_, now_ + lag_);
   Add(last_publish_, Todo::kPublish, changes_.size());
 }
@@ -483,7 +488,7 @@
   list.version = static_cast<std::int64_t>(version);
   std::map<std::string, ListEntry> all;
   for (std::size_t v = 0; v < version; ++v) {
-    const ListEntry& entry = changes_[v].entry;
+    const ListEntry& entry = changes_[v];
     if (entry.state == ListEntry::State::kGone) {
       all.erase(entry.id);
     } else {
@@ -499,11 +504,11 @@
   TellList list;
   list.relay = number;
   for (std::size_t v = relay.told; v < published_; ++v) {
-    list.entries.push_back(changes_[v].entry);
+    list.entries.push_back(changes_[v]);
     trace::Event event = EventOf(Kind::kTold);
     event.relay = number;
-    event.host = changes_[v].entry.id;
-    event.up = changes_[v].entry.state == ListEntry::State::kReady;
+    event.host = changes_[v].id;
+    event.up = changes_[v].state == ListEntry::State::kReady;
     sink_(event);
   }
   relay.told = published_;
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <queue>
 #include <string>
 #include <unordered_map>
@@ -42,7 +41,8 @@
   int relay = 0;
   std::string address;
   std::string id, key;
-  bool fresh = false;  // the first on its connection
+  bool fresh = false;    // the first on its connection
+  bool crowded = false;  // on one that the host has no room for: Connect said so
 };
 struct Dropped {  // the relay, or its death, ended the call's connection before an answer
   std::uint64_t call = 0;
@@ -172,15 +172,12 @@
     int relay = 0;
     std::size_t host = 0;
     std::string id, key;
-    bool fresh = false;
+    bool fresh = false, crowded = false;
     bool answering = false;
     int status = 0;
     Time wait{0};
     bool over_limit = false;
   };
-  struct Change {
-    ListEntry entry;
-  };
   struct RelayState {
     bool believed = true, up = false, watching = false;
     Time notice_at{0};     // when the front passes it over, if it is still down
@@ -232,7 +229,7 @@
   // When a key had its effect, by partner and zone: repeats are dropped for a while.
   std::unordered_map<std::string, Time> effects_had_;
   std::queue<std::pair<Time, std::string>> effects_old_;
-  std::vector<Change> changes_;  // version n is the n-th
+  std::vector<ListEntry> changes_;  // version n is the n-th
   std::size_t published_ = 0;
   Time lag_{0}, last_publish_{0};
   std::vector<RelayState> relays_;
--- a/src/relay/phase.hpp
+++ b/src/relay/phase.hpp
@@ -1,11 +1,18 @@
 // The phases of the program, from start to exit, as states of one object.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <utility>
 
 namespace oxbowspread::relay {
 
+// From SIGTERM; SIGKILL comes 3.7 s after it at the earliest.
+inline constexpr std::chrono::milliseconds kDoorOpen{500};   // new connections keep coming for up to 400 ms
+inline constexpr std::chrono::milliseconds kSettleAt{3100};  // nothing new is sent from then on
+inline constexpr std::chrono::milliseconds kStopAt{3550};    // what is still out is left to the next life
+inline constexpr std::chrono::milliseconds kLookEach{20};    // whether all is done
+
 enum class Phase {
   kStarting,    // configuration read, nothing served
   kRecovering,  // what the journal still owes goes to the module
--- a/src/results/results.hpp
+++ b/src/results/results.hpp
@@ -39,6 +39,7 @@
   // Makes the file if it isn't there. Throws sqlite::Error.
   explicit Results(const std::string& path);
 
+  // All of these throw sqlite::Error; All also nlohmann's exceptions on a report that is no JSON.
   bool Has(const Key& key);
   void Put(const Row& row);  // in place of an earlier one of that key
   // In the order of their keys.
--- a/src/trace/event.cpp
+++ b/src/trace/event.cpp
@@ -16,7 +16,7 @@
 
 // Each field once, for both ways.
 template <typename E, typename Visit>
-void Fields(E& e, Visit visit) {
+void Fields(E&& e, Visit visit) {
   visit("message", e.message);
   visit("id", e.id);
   visit("relay", e.relay);
@@ -37,9 +37,7 @@
 const char* NameOf(Event::Kind kind) { return kNames[static_cast<std::size_t>(kind)]; }
 
 std::string ToLine(const Event& event) {
-  static const Event none;
   Json json = {{"at_us", event.at.count()}, {"kind", NameOf(event.kind)}};
-  Json plain;
   const auto put = [](Json& to) {
     return [&to](const char* name, const auto& value) {
       if constexpr (std::is_same_v<std::decay_t<decltype(value)>, Time>) {
@@ -49,11 +47,15 @@
       }
     };
   };
+  static const Json plain = [&] {
+    Json none;
+    Fields(Event(), put(none));
+    return none;
+  }();
   Json all;
   Fields(event, put(all));
-  Fields(none, put(plain));
   for (const auto& [name, value] : all.items()) {
-    if (value != plain[name]) json[name] = value;
+    if (value != plain.at(name)) json[name] = value;
   }
   return json.dump();
 }
--- a/tests/lab/program_test.cpp
+++ b/tests/lab/program_test.cpp
@@ -160,3 +160,25 @@
   CHECK(ran.out.find("highest within: traffic.load=") != std::string::npos);
   CHECK(ran.out.find("the end of the span") == std::string::npos);
 }
+
+TEST_CASE("oxbowlab: a host that takes few connections turns the rest away, by either driver", "[lab]") {
+  Folder folder;
+  const std::string file = folder.Write(
+      "day.yaml",
+      "length: 4s\ntraffic: {load: 1, shape: steady, clumps: 0}\npartners: {count: 3, rate: 30, hosts: 1, "
+      "headroom: 20, work: 500ms, work_spread: 0, errors: 0, queue: 10s}\n");
+  for (const char* driver : {"sim", "run"}) {
+    std::vector<std::string> words = {driver, file, "--json"};
+    if (std::string(driver) == "run") words.insert(words.end(), {"--relay", OXBOWSPREAD});
+    const Json free = Json::parse(Lab(words).out);
+    words.insert(words.end(), {"--set", "partners.connections=2"});
+    const Json crowded = Json::parse(Lab(words).out);
+    INFO(driver << crowded.dump());
+    CHECK(crowded["breaches"].empty());
+    CHECK(free["figures"]["in_aim"].get<int>() > crowded["figures"]["in_aim"].get<int>());
+    // Where it is a call that is turned away, and not a connection, it is seen.
+    if (std::string(driver) == "run") {
+      CHECK(crowded["figures"]["refused_calls"].get<int>() > free["figures"]["refused_calls"].get<int>());
+    }
+  }
+}
