--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,6 +29,14 @@
 constexpr double kGapStepShare = 0.1;  // both at least this share of the time in which one call is due here
 constexpr double kGapMaxShare = 2;
 constexpr double kGapShrink = 0.12;  // share of the gap that a served call takes off
+// Turns: this sender's part of a told limit, call by call. Drawn, and an unused one lapses: what all senders
+// send at once stays within the limit however many they are.
+constexpr double kTurnRate = 1.5;     // first rate, of the part that is surely there,
+constexpr double kTurnFew = 10;       // and bolder where few senders share: each soon learns the limit
+constexpr double kTurnKeptS = 0.4;    // a turn lapses after so long: the burst that all make together
+constexpr double kTurnShrink = 0.08;  // share that a call served while messages wait takes off
+constexpr double kTurnWiden = 1.4;    // times longer after a refusal as full
+constexpr double kTurnLeast = 0.3, kTurnMost = 4;  // times the first
 // Health.
 constexpr double kChance = 0.02;         // failures in a row less likely than this by chance are an outage
 constexpr int kStrikesMost = 5;          // failures in a row are an outage however many calls fail anyway
@@ -95,6 +103,7 @@
 struct Route {
   double tokens = kTokenCap;
   Time gap{0}, next_send{0}, wait_until{0};
+  Time told_turn{0}, turn{0}, next_turn{0};  // between turns: by what was told (0: none), as learned
   Time widened_at = Time::min();
   double told_limit = 0;         // calls a second for all senders; 0: not told
   int endpoints = 0, calls = 0;  // listed, out
@@ -108,11 +117,21 @@
     tokens -= 1;
     return true;
   }
-  void ShrinkGap() {
+  void ShrinkGap(bool waiting) {
+    if (waiting) ScaleTurn(1 - kTurnShrink);
     gap = Micros(Seconds(gap) * (1 - kGapShrink));
     if (gap < kGapStep / 4) gap = 0us;
   }
-  Time FreeAt() const { return std::max(wait_until, next_send); }
+  void ScaleTurn(double by) {
+    const double told = Seconds(told_turn);
+    turn = Micros(std::clamp(Seconds(turn) * by, told * kTurnLeast, told * kTurnMost));
+  }
+  // The next turn, or the last if it may still be taken.
+  Time TurnAt(Time now) const {
+    const Time late = now - Micros(kTurnKeptS) - next_turn;
+    return late <= 0us || turn <= 0us ? next_turn : next_turn + turn * (late / turn + 1);
+  }
+  Time FreeAt(Time now) const { return std::max({wait_until, next_send, TurnAt(now)}); }
   Time KeptUntil() const { return endpoints > 0 ? Time::max() : std::max(wait_until, cold_until); }
 };
 
@@ -389,7 +408,7 @@
 
   // ---- health and slow start ----
   void NoteServed(Endpoint& e, Time latency, bool probe) {
-    e.route->ShrinkGap();
+    e.route->ShrinkGap(e.home->waiting > 0);
     e.last_served = now_;
     e.served_sent = std::max(e.served_sent, now_ - latency);
     if (!probe) {
@@ -441,6 +460,7 @@
     const double due_s = 1 / PartOf(e);
     if (sent_at >= r.widened_at) {
       r.widened_at = now_;
+      r.ScaleTurn(kTurnWiden);
       r.gap = std::clamp(r.gap * 2, std::max(kGapStep, Micros(kGapStepShare * due_s)),
                          std::max(kGapMax, Micros(kGapMaxShare * due_s)));
     }
@@ -487,6 +507,14 @@
     const double part = (e.home->arrivals.At(now_) + 1) / (seen_s + 1 / mean);
     return std::max(part / static_cast<double>(e.home->routes.size()), kLeastRate / s_.senders);
   }
+  // A part far below one call in the burst that a host bears is taken by chance, never rounded up to one.
+  void SetTurns(const Endpoint& e) {
+    Route& r = *e.route;
+    if (r.told_limit <= 0) return;
+    const Time told = Micros(1 / (kTurnRate * (1 + kTurnFew / s_.senders) * PartOf(e)));
+    if (r.told_turn == 0us) r.next_turn = now_ + Micros(Seconds(told) * Uniform(0, 1)) - Micros(kTurnKeptS);
+    if (r.told_turn != told) r.turn = r.told_turn = told;
+  }
   // Only senders that saw an outage hold messages; where calls are rare they are few, and each may send more.
   double OutagePart(const Endpoint& e) const {
     const double part = PartOf(e), rate = std::max(part, e.home->arrivals.At(now_) / kHorizonS);
@@ -578,6 +606,7 @@
     if (trial) BackOff(e);
     if (e.state == State::kCold) e.route->next_in_trouble = now_ + ColdInterval(e);
     e.route->next_send = now_ + Drawn(e.route->gap);
+    e.route->next_turn = e.route->TurnAt(now_) + Drawn(e.route->turn);
     e.route->calls += 1;
     e.calls += 1;
     ++last_bundle_;
@@ -664,8 +693,8 @@
   Time OpensAt(const Endpoint& e) const {
     const Route& r = *e.route;
     if (e.state == State::kDown) return std::max(r.wait_until, r.next_in_trouble);
-    if (e.state == State::kUp) return r.FreeAt();
-    return std::max(r.FreeAt(), std::min(r.next_in_trouble, e.cold_since + s_.cold));
+    if (e.state == State::kUp) return r.FreeAt(now_);
+    return std::max(r.FreeAt(now_), std::min(r.next_in_trouble, e.cold_since + s_.cold));
   }
   void MarkStuck(Call& call) {
     const auto it = messages_.find(call.key.first);
@@ -729,6 +758,7 @@
     e.route->endpoints += 1;
     e.route->calls += e.calls;
     if (s_.weights != WeightMeaning::kNone) e.route->told_limit = info.weight;
+    SetTurns(e);
     // New to a destination that is out or cold, or where messages wait: cold, else it gets the backlog at
     // once. Harm: a sound one is fed slowly for the warm-up.
     if (is_new && (d.waiting > 0 || now_ < e.route->cold_until)) e.state = State::kCold;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -251,10 +251,11 @@
     a.weight = 10;  // calls a second of all senders: one each 10 s is due here
     rig.List({a});
     rig.Do({rig.New("m1", 0)});
+    while (rig.Sends("m1") == 0) rig.Pass(20ms);
     rig.now += 100ms;
     rig.Do({rig.End("m1", Outcome::kRefused, 0, 200ms)});
     const Time told = rig.now;
-    rig.Pass(10s);
+    rig.Pass(15s);
     ASSERT_EQ(rig.Sends("m1"), 2);
     shortest = std::min(shortest, rig.sent_at["m1"] - told);
     longest = std::max(longest, rig.sent_at["m1"] - told);
@@ -263,6 +264,86 @@
   EXPECT_GE(longest - shortest, 400ms);
 }
 
+// ---- turns ----
+
+Settings ManySenders(int senders) {
+  Settings s = BasicSettings();
+  s.senders = senders;
+  s.weights = WeightMeaning::kNominal;
+  return s;
+}
+EndpointInfo Told(double calls_per_s) {
+  EndpointInfo a = At("a", 7);
+  a.weight = calls_per_s;
+  return a;
+}
+
+// Found at fleet size: a clump reaches each of a hundred senders as one message, and all sent theirs at once.
+TEST(Turns, WhatAllSendersSendAtOnceFollowsTheLimitAndNotTheirNumber) {
+  for (const int senders : {100, 200}) {
+    std::size_t at_once = 0, in_4s = 0;
+    for (int rank = 0; rank < senders; ++rank) {
+      Rig rig(ManySenders(senders), static_cast<std::uint64_t>(rank + 1));
+      rig.List({Told(40)});
+      rig.Pass(3s);
+      rig.Do({rig.New("m1", 0)});
+      at_once += rig.sent.size();
+      rig.Pass(4s);
+      in_4s += rig.sent.size();
+    }
+    EXPECT_LE(at_once, 40u) << senders << " senders, a limit of 40 a second";
+    EXPECT_GE(at_once, 10u) << "a turn that has just come may be taken";
+    EXPECT_GE(in_4s, 95u) << "nobody waits longer than its part lasts";
+  }
+}
+
+TEST(Turns, UnusedLapseAndAreNotSavedUp) {
+  Rig rig(ManySenders(100));
+  rig.List({Told(40)});
+  rig.Pass(60s);
+  for (int i = 0; i < 20; ++i) rig.Do({rig.New(Id(i), 0)});
+  EXPECT_LE(rig.sent.size(), 1u);
+  rig.Pass(10s);
+  EXPECT_GE(rig.sent.size(), 4u);
+  EXPECT_LE(rig.sent.size(), 10u) << "a part of 0.4 a second, a half above it at first";
+}
+
+TEST(Turns, ComeFasterWhileMessagesWaitAndSlowerAfterRefusals) {
+  const auto sent_in_20s = [](Outcome before) {
+    std::size_t sends = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      Rig rig(ManySenders(100), seed);
+      rig.List({Told(40)});
+      for (int i = 0; i < 60; ++i) rig.Do({rig.New(Id(i), 0)});
+      std::size_t ended = 0;
+      const auto pass = [&](Time span, Outcome outcome) {
+        for (const Time until = rig.now + span; rig.now < until;) {
+          rig.Pass(20ms);
+          for (; ended < rig.sent.size(); ++ended) {
+            const MessageId id = rig.sent[ended].id;
+            rig.Do({rig.End(id, outcome, rig.Sends(id) - 1)});
+          }
+        }
+      };
+      pass(10s, before);
+      const std::size_t begun = rig.sent.size();
+      for (int i = 60; i < 90; ++i) rig.Do({rig.New(Id(i), 0)});
+      pass(8s, Outcome::kServed);
+      sends += rig.sent.size() - begun;
+    }
+    return sends;
+  };
+  EXPECT_GT(sent_in_20s(Outcome::kServed), sent_in_20s(Outcome::kRefused) * 3 / 2);
+}
+
+TEST(Turns, AreNoHindranceToTheFewSendersOfASmallFleet) {
+  Rig rig(ManySenders(3));
+  rig.List({Told(40)});
+  rig.Pass(1s);
+  for (int i = 0; i < 5; ++i) rig.Do({rig.New(Id(i), 0)});
+  EXPECT_EQ(rig.sent.size(), 5u);
+}
+
 TEST(Wait, HaltsTheWholeDestination) {
   Rig rig;
   rig.List({At("a", 7), At("b", 7), At("c", 8)});
@@ -292,7 +373,10 @@
 // ---- health and slow start ----
 
 void Break(Rig& rig, Outcome outcome, int n = 3) {
+  const std::size_t before = rig.sent.size();
   for (int i = 0; i < n; ++i) rig.Do({rig.New("b" + std::to_string(i), 0)});
+  // One of many senders waits for its turn.
+  for (int i = 0; i < 1000 && rig.sent.size() == before; ++i) rig.Pass(20ms);
   for (std::size_t answered = 0; answered < rig.sent.size(); ++answered) {
     rig.now += 50ms;
     const std::string id = rig.sent[answered].id;
