--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,11 +31,10 @@
 constexpr double kGapShrink = 0.12;  // share of the gap that a served call takes off
 // Turns: this sender's part of a told limit, call by call. Drawn, and an unused one lapses: what all senders
 // send at once stays within the limit however many they are.
-constexpr double kTurnRate = 1.5;     // first rate, of the part that is surely there,
-constexpr double kTurnFew = 10;       // and bolder where few senders share: each soon learns the limit
+constexpr double kTurnFew = 10;       // times bolder over the number of senders: few soon learn a limit
 constexpr double kTurnKeptS = 0.4;    // a turn lapses after so long: the burst that all make together
 constexpr double kTurnShrink = 0.08;  // share that a call served while messages wait takes off
-constexpr double kTurnWiden = 1.4;    // times longer after a refusal as full
+constexpr double kTurnWiden = 1.7;    // times longer after a refusal as full
 constexpr double kTurnLeast = 0.3, kTurnMost = 4;  // times the first
 // Health.
 constexpr double kChance = 0.02;         // failures in a row less likely than this by chance are an outage
@@ -53,13 +52,13 @@
 constexpr double kLatencyWeight = 0.15;  // of a new latency in the moving mean
 constexpr Time kLatencyGuess = 400ms;    // before any call was served
 // Slow start.
-constexpr double kCautious = 1.0;     // of the share that the rules say is there at least
-constexpr double kLeastRate = 2;      // calls a second that any destination takes from all senders together
-constexpr double kTrialShare = 0.3;   // of this sender's part, for trials of a destination that is down
-constexpr double kHorizonS = 30;      // arrivals are counted over so long
-constexpr double kShortPastS = 5;     // added to it: a clump in a short past is no rate
-constexpr double kOutageGuessS = 5;   // an outage is older than this sender's first failure there
-constexpr double kRoughWeight = 1.5;  // a rough limit may be so many times too high
+constexpr double kCautious = 1.0;    // of the share that the rules say is there at least
+constexpr double kLeastRate = 2;     // calls a second that any destination takes from all senders together
+constexpr double kTrialShare = 0.3;  // of this sender's part, for trials of a destination that is down
+constexpr double kFoundLate = 0.5;   // share of the time since the last failure for which it is back
+constexpr double kHorizonS = 30;     // arrivals are counted over so long
+constexpr double kShortPastS = 5;    // added to it: a clump in a short past is no rate
+constexpr double kOutageGuessS = 5;  // an outage is older than this sender's first failure there
 // What goes where, in seconds of a call's time.
 constexpr double kSameAgainCost = 1;  // the endpoint where the message failed last
 constexpr double kColdCost = 1;       // a cold endpoint beside a warm one
@@ -79,9 +78,12 @@
 constexpr double kFullAt = 0.92;      // share of max_open from which the least worth is given up
 constexpr Time kAnswerMargin = 60ms;  // an unsent message is answered this long before its time ends
 constexpr Time kRetryAfter = 1s;      // advice to a refused client where nothing better is known
-constexpr Time kAskAgain = 1s;        // after a failed subscription
-constexpr double kQuotaBurstS = 2;    // a tenant's share is counted over so long,
-constexpr double kQuotaBurst = 2;     // and over so many messages at least: one of many sees few
+// Asking for the list: all senders start, and lose discovery, together; it works through their calls in turn,
+// and one that waited too long was work for nothing.
+constexpr double kAskEachS = 0.08;  // so far apart on average are the calls of all senders
+constexpr Time kAskSoon = 1s;       // a first repeat waits about so long at least, the next ones twice that
+constexpr double kQuotaBurstS = 2;  // a tenant's share is counted over so long,
+constexpr double kQuotaBurst = 2;   // and over so many messages at least: one of many sees few
 
 constexpr Time kNever = Time::min() / 2;
 double Seconds(Time t) { return static_cast<double>(t.count()) * 1e-6; }
@@ -153,7 +155,7 @@
   bool eats = false;         // the trouble may have run what it took: no place for an unsafe message
   bool second_look = false;  // down by a lone failed connect
   bool trying = false;       // a probe or a trial message is out
-  Time cold_since{0};
+  Time cold_since{0}, failed_at = kNever;
   std::map<int, Time> shunned;  // by classes that failed here, until then
 
   bool Usable() const { return listed && info.lifecycle == Lifecycle::kUp; }
@@ -256,7 +258,7 @@
   std::vector<Action> Step(Time now, std::span<const Event> events) {
     now_ = started_at_ ? std::max(now_, now) : now;
     actions_.clear();
-    if (!started_at_ && s_.list_must_be_asked_for) SetAlarm(list_alarm_, now, std::monostate());
+    if (!started_at_ && s_.list_must_be_asked_for) AskWithin(AskSpreadS(), 0);
     if (!started_at_) started_at_ = now;
     for (const Event& event : events) std::visit([this](const auto& e) { On(e); }, event);
     while (!agenda_.empty() && agenda_.begin()->first <= now_) {
@@ -418,8 +420,9 @@
     if (e.state == State::kDown && e.second_look) e.state = State::kUp;
     if (e.state == State::kDown) {
       e.state = State::kCold;
-      e.route->cold_until = now_ + s_.cold;
-      e.cold_since = now_;
+      // Found late by one of many: it came back at any time since the last failure here.
+      e.cold_since = now_ - Micros(kFoundLate * Seconds(now_ - std::max(e.failed_at, now_ - s_.cold)));
+      e.route->cold_until = e.cold_since + s_.cold;
       e.route->next_in_trouble = now_ + ColdInterval(e) / 2;  // the trial was a call
       actions_.push_back(Log{"returning " + e.info.id});
     }
@@ -443,6 +446,7 @@
   }
   void NoteFailed(Endpoint& e, Outcome o) {
     e.strikes += 1;
+    e.failed_at = now_;
     e.eats = MayHaveRun(o);
     if (e.state == State::kDown) return;
     e.failing += kFailingWeight * (1 - e.failing);
@@ -499,9 +503,7 @@
   // This sender's part of what a destination takes: of the limit where told, else of what came in for it,
   // drawn to the mean where that is thin. Calls a second.
   double PartOf(const Endpoint& e) const {
-    if (e.route->told_limit > 0) {
-      return e.route->told_limit / s_.senders / (s_.weights == WeightMeaning::kRough ? kRoughWeight : 1);
-    }
+    if (e.route->told_limit > 0) return e.route->told_limit / s_.senders;
     const double seen_s = kShortPastS + kHorizonS * (1 - std::exp(-Seconds(now_ - *started_at_) / kHorizonS));
     const double mean = (arrivals_.At(now_) + 1) / seen_s / static_cast<double>(destinations_.size());
     const double part = (e.home->arrivals.At(now_) + 1) / (seen_s + 1 / mean);
@@ -511,7 +513,7 @@
   void SetTurns(const Endpoint& e) {
     Route& r = *e.route;
     if (r.told_limit <= 0) return;
-    const Time told = Micros(1 / (kTurnRate * (1 + kTurnFew / s_.senders) * PartOf(e)));
+    const Time told = Micros(1 / ((1 + kTurnFew / s_.senders) * PartOf(e)));
     if (r.told_turn == 0us) r.next_turn = now_ + Micros(Seconds(told) * Uniform(0, 1)) - Micros(kTurnKeptS);
     if (r.told_turn != told) r.turn = r.told_turn = told;
   }
@@ -520,9 +522,12 @@
     const double part = PartOf(e), rate = std::max(part, e.home->arrivals.At(now_) / kHorizonS);
     return part / (1 - std::exp(-rate * (Seconds(now_ - e.route->down_since) + kOutageGuessS)));
   }
-  // Between calls of this sender to a cold endpoint.
+  // Between calls of this sender to a cold endpoint. One call of a small part may be due only seconds later:
+  // what the endpoint gains meanwhile counts.
   Time ColdInterval(const Endpoint& e) {
-    return Drawn(Micros(1 / (kCautious * OutagePart(e) * ColdShare(e))));
+    const double calls = Uniform(0.5, 1.5) / (kCautious * OutagePart(e)), share = ColdShare(e);
+    const double gain = s_.cold > 0us ? (1 - s_.cold_from) / Seconds(s_.cold) : 0;
+    return Micros(gain <= 0 ? calls / share : (std::sqrt(share * share + 2 * gain * calls) - share) / gain);
   }
   double ColdShare(const Endpoint& e) const {
     const double grown = s_.cold > 0us ? Seconds(now_ - e.cold_since) / Seconds(s_.cold) : 1;
@@ -733,10 +738,22 @@
   }
 
   // ---- events ----
+  // Until then the list as last had serves. The spread leaves a fifth of the time by which one must have
+  // asked.
+  double AskSpreadS() const {
+    const double most = s_.ask_within > 0us ? 0.8 * Seconds(s_.ask_within) : kHorizonS;
+    return std::clamp(kAskEachS * (s_.senders - 3), 0.0, most);
+  }
+  void AskWithin(double span_s, double least_share) {
+    SetAlarm(list_alarm_, now_ + Micros(span_s * Uniform(least_share, 1 + least_share)), std::monostate());
+  }
   void On(const ListUpdate& update) {
     if (update.scope == ListScope::kFailed) {
-      return SetAlarm(list_alarm_, now_ + Micros(Seconds(kAskAgain) * Uniform(0.7, 1.3)), std::monostate());
+      AskWithin(std::max(Seconds(kAskSoon), AskSpreadS()) * (ask_failed_ ? 2 : 1), 0.2);
+      ask_failed_ = true;
+      return;
     }
+    ask_failed_ = false;
     for (auto& [id, e] : endpoints_) {
       if (update.scope == ListScope::kChanges) break;
       e.listed = false;
@@ -932,6 +949,7 @@
   int called_off_ = 0;                               // calls out
   std::vector<Share> shares_;
   Alarm list_alarm_;
+  bool ask_failed_ = false;  // the last call for the list
   std::int64_t last_seq_ = 0;
   std::uint64_t last_bundle_ = 0;
 };
