Add a door for operators, and hosts taken out for maintenance

Design: the door is a package of its own, a reader fed bytes and a driver whose sockets the loop serves first, with 18 descriptors set apart; 16 callers, a new one takes the oldest one's place. The module takes a host that drained and is up again as cold. Not taken: the control socket (other form, other right of entry, and its calls queue behind frames); a file of its own for what is out (a second recovery, a second budget); a flag in the module (it would have to know why a host drains).

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -16,6 +16,7 @@
 #include "apps/arguments.hpp"
 #include "config/config.hpp"
 #include "control/server.hpp"
+#include "door/door.hpp"
 #include "issuer/issuer.hpp"
 #include "journal/folder_lock.hpp"
 #include "journal/journal.hpp"
@@ -90,6 +91,10 @@
     discovery_.Attach(relay_);
     notices_.Attach(relay_);
     counters_.journal_cut_bytes = journal_.cut_bytes();
+    if (!config_.mgmt.empty()) {
+      door_.emplace(loop_, AddressOf("mgmt", config_.mgmt),
+                    [this](const door::Call& call) { return Operate(call); });
+    }
     if (!options_.control.empty()) {
       control_.emplace(
           loop_, options_.control,
@@ -186,6 +191,25 @@
            relay_.out() == 0;
   }
 
+  // ---- the operators' door ----
+
+  std::optional<std::string> Operate(const door::Call& call) {
+    const bool takes_host = call.word == "exclude" || call.word == "include";
+    if (call.word != "readyz" && !takes_host)
+      return "no call " + call.word + ": readyz, exclude ID, include ID";
+    if (takes_host == call.argument.empty())
+      return call.word + (takes_host ? " takes a host's id" : " takes nothing");
+    if (!takes_host) {
+      if (phases_.now() == Phase::kServing) return std::nullopt;
+      return std::string(relay::NameOf(phases_.now()));
+    }
+    const bool out = call.word == "exclude";
+    const auto why = out ? relay_.TakeOut(call.argument) : relay_.PutBack(call.argument);
+    std::cout << config_.name << ": " << call.word << " " << call.argument << ": " << why.value_or("done")
+              << std::endl;
+    return why;
+  }
+
   // ---- the control socket ----
 
   control::Json Command(const control::Json& request) {
@@ -292,6 +316,7 @@
   bool door_closed_ = false;
   bool sent_away_ = false;
   std::optional<control::Server> control_;
+  std::optional<door::Door> door_;
 };
 
 // What the file says, without starting anything: 0, or 2 and one line.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -88,6 +88,7 @@
 void Check(const Config& c) {
   CheckAddress("listen", c.listen);
   CheckAddress("discovery", c.discovery);
+  if (!c.mgmt.empty()) CheckAddress("mgmt", c.mgmt);
   if (c.state.empty()) throw Error("ROUTER_STATE", "names no folder for what must last");
 }
 
@@ -101,6 +102,7 @@
   c.listen = Text(root, "listen");
   c.discovery = Text(root, "discovery");
   c.state = Text(root, "state");
+  c.mgmt = Text(root, "mgmt");
   c.seed = Seed(root);
   const Json limits = root.value("limits", Json::object());
   if (!limits.is_object()) throw Error("limits", "must be an object");
@@ -136,6 +138,7 @@
   Override("ROUTER_LISTEN", &c.listen);
   Override("ROUTER_DISCOVERY", &c.discovery);
   Override("ROUTER_STATE", &c.state);
+  Override("ROUTER_MGMT", &c.mgmt);
   Check(c);
   FitToSystem(&c);
   return c;
@@ -146,6 +149,7 @@
   Override("ROUTER_NAME", &c.name);
   Override("ROUTER_LISTEN", &c.listen);
   Override("ROUTER_STATE", &c.state);
+  Override("ROUTER_MGMT", &c.mgmt);
   if (c.discovery.empty()) c.discovery = running.discovery;
   Check(c);
   FitToSystem(&c);
@@ -157,6 +161,7 @@
   if (next.name != running.name) keys.emplace_back("name");
   if (next.listen != running.listen) keys.emplace_back("listen");
   if (next.state != running.state) keys.emplace_back("state");
+  if (next.mgmt != running.mgmt) keys.emplace_back("mgmt");
   if (next.disk_bytes != running.disk_bytes) keys.emplace_back("limits.disk_mb");
   if (next.settings_text != running.settings_text) keys.emplace_back("settings");
   return keys;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -22,6 +22,7 @@
   std::string listen;     // address:port, loopback or the relay's own
   std::string discovery;  // address:port
   std::string state;      // the folder that lasts
+  std::string mgmt;       // address:port of the operators' door; empty: none
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
@@ -34,8 +35,10 @@
   // Shares of the descriptors. Clients hold a third for requests, and some more may be about to leave; lines
   // to issuer hosts get half; the rest is for the journal, the loop, discovery and notices, and a reserve.
   static constexpr std::size_t kOwnDescriptors = 16;
-  std::size_t most_clients() const { return (sockets - kOwnDescriptors) * 2 / 5; }
-  std::size_t most_lines() const { return (sockets - kOwnDescriptors) / 2; }
+  static constexpr std::size_t kDoorDescriptors = 18;  // where there is a door: set apart for it
+  std::size_t shared() const { return sockets - kOwnDescriptors - (mgmt.empty() ? 0 : kDoorDescriptors); }
+  std::size_t most_clients() const { return shared() * 2 / 5; }
+  std::size_t most_lines() const { return shared() / 2; }
 };
 
 // From the file that $ROUTER_CONFIG names; the other $ROUTER_ variables fill in and win. Throws Error.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -765,6 +765,7 @@
     const auto [it, is_new] = endpoints_.try_emplace(info.id);
     Endpoint& e = it->second;
     if (!is_new) Detach(e);
+    const bool back = !is_new && info.lifecycle == Lifecycle::kUp && e.info.lifecycle == Lifecycle::kDraining;
     e.info = info;
     e.listed = info.lifecycle != Lifecycle::kRemoved;
     Destination& d = Home(info.destination);
@@ -777,9 +778,9 @@
     if (s_.weights != WeightMeaning::kNone) e.route->told_limit = info.weight;
     SetTurns(e);
     // New to a destination that is out or cold, or where messages wait: cold, else it gets the backlog at
-    // once. Harm: a sound one is fed slowly for the warm-up.
-    if (is_new && (d.waiting > 0 || now_ < e.route->cold_until)) e.state = State::kCold;
-    if (is_new) e.cold_since = now_;
+    // once. So is one that drained and takes calls again: it was restarted. Harm: a sound one is fed slowly.
+    if (back || (is_new && (d.waiting > 0 || now_ < e.route->cold_until))) e.state = State::kCold;
+    if (is_new || back) e.cold_since = now_;
     Touch(d);
   }
   void Detach(Endpoint& e) {
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -14,7 +14,7 @@
 namespace oxbowspread::journal {
 namespace {
 
-enum class Type : std::uint8_t { kAccepted = 1, kLegBegun, kLegEnded, kEnded, kClosed };
+enum class Type : std::uint8_t { kAccepted = 1, kLegBegun, kLegEnded, kEnded, kClosed, kHostOut, kHostBack };
 
 constexpr std::size_t kFrame = 8;
 constexpr std::size_t kLongest = 256 * 1024;  // of a payload: more is no record
@@ -107,6 +107,8 @@
       .bytes();
 }
 
+std::string HostRecord(Type type, const std::string& host) { return Writer(type).Put(host).bytes(); }
+
 std::size_t Size(const Entry& e) { return kRecordsOfOne + e.authorisation.body.size(); }
 
 [[noreturn]] void Throw(const std::string& what) {
@@ -188,6 +190,11 @@
     if (p.good()) Keep(std::move(e));
     return p.good();
   }
+  if (type == Type::kHostOut || type == Type::kHostBack) {
+    if (p.good() && type == Type::kHostOut) out_.insert(id);
+    if (p.good() && type == Type::kHostBack) out_.erase(id);
+    return p.good();
+  }
   const auto it = entries_.find(id);
   if (it == entries_.end()) return p.good();
   Entry& e = it->second;
@@ -252,6 +259,9 @@
   const int next = open(next_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   std::size_t size = 0;
   bool good = next >= 0;
+  for (const std::string& host : out_) {
+    good = good && WriteFrame(next, HostRecord(Type::kHostOut, host), &size);
+  }
   for (auto it = entries_.begin(); good && it != entries_.end(); ++it) {
     const Entry& e = it->second;
     good = WriteFrame(next, Accepted(e), &size);
@@ -298,6 +308,20 @@
   return Append(Ended(id, ending));
 }
 
+bool Journal::TakeOut(const std::string& host) {
+  if (out_.count(host) > 0) return true;
+  if (out_.size() >= kMostOut || !Append(HostRecord(Type::kHostOut, host))) return false;
+  out_.insert(host);
+  return true;
+}
+
+bool Journal::PutBack(const std::string& host) {
+  if (out_.count(host) == 0) return true;
+  if (!Append(HostRecord(Type::kHostBack, host))) return false;
+  out_.erase(host);
+  return true;
+}
+
 bool Journal::Close(const std::string& id) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return true;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -39,6 +40,12 @@
   bool End(const std::string& id, const Ending& ending);
   bool Close(const std::string& id);  // delivered, withdrawn, or its notice taken: nothing is owed
 
+  // Hosts that operators have taken out, by id; on record when true is returned. kMostOut at a time.
+  static constexpr std::size_t kMostOut = 64;
+  const std::set<std::string>& out() const { return out_; }
+  bool TakeOut(const std::string& host);
+  bool PutBack(const std::string& host);
+
  private:
   void Recover();
   bool Apply(std::string_view payload);
@@ -55,6 +62,7 @@
   std::size_t live_bytes_ = 0;  // what a rewritten file would hold at most
   std::size_t cut_bytes_ = 0;
   std::map<std::string, Entry> entries_;
+  std::set<std::string> out_;
 };
 
 }  // namespace oxbowspread::journal
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -155,6 +155,12 @@
   Watch();
 }
 
+void Connection::First() {
+  io_.stop();  // a watcher's priority may only change while it rests
+  io_.priority = EV_MAXPRI;
+  Watch();
+}
+
 bool Connection::Quiet() const {
   char byte = 0;
   return fd_ >= 0 && !broken_ && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && Again(errno);
@@ -230,6 +236,12 @@
   Resume();
 }
 
+void Listener::First() {
+  io_.stop();
+  io_.priority = EV_MAXPRI;
+  Resume();
+}
+
 void Listener::Resume() {
   if (fd_ >= 0 && !io_.is_active()) io_.start(fd_, ev::READ);
 }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -55,6 +55,8 @@
   void Close();
   // Offers again what the user left unread.
   void Resume();
+  // Served before other sockets that are ready in the same round of the loop.
+  void First();
 
  private:
   static std::unique_ptr<Connection> Start(Loop& loop, int fd, const sockaddr* to, socklen_t size, User& user,
@@ -87,6 +89,8 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // As Connection::First.
+  void First();
   void Pause() { io_.stop(); }
   void Resume();
   void Close();
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -47,6 +47,7 @@
       {"clients_too_slow", clients_too_slow},
       {"reloads", reloads},
       {"reloads_refused", reloads_refused},
+      {"hosts_out", hosts_out},
       {"turns", turns},
       {"latest_turn_us", latest_turn_us},
       {"longest_turn_us", longest_turn_us},
--- a/src/relay/counters.hpp
+++ b/src/relay/counters.hpp
@@ -20,6 +20,7 @@
   std::uint64_t clients = 0, clients_turned_away = 0, clients_evicted = 0, clients_evicted_unasked = 0,
                 clients_too_slow = 0;
   std::uint64_t reloads = 0, reloads_refused = 0;
+  std::uint64_t hosts_out = 0;  // taken out by operators, now
   std::uint64_t turns = 0, latest_turn_us = 0, longest_turn_us = 0;
 
   // One name=value a line.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -25,7 +25,10 @@
       decider_(std::move(settings), seed),
       journal_(journal),
       sides_(sides),
-      counters_(counters) {}
+      counters_(counters) {
+  for (const std::string& host : journal_.out()) table_.TakeOut(host);
+  counters_.hosts_out = journal_.out().size();
+}
 
 int Relay::ClassOf(const std::string& name) const {
   const auto& all = settings_.classes;
@@ -348,6 +351,10 @@
 
 void Relay::RoutingChanged(const RoutingChange& change) {
   counters_.list_changes += 1;
+  Tell(table_.Adopt(change));
+}
+
+void Relay::Tell(const RoutingChange& change) {
   sides_.issuer.Adopt(change);
   wheathub::ListUpdate update;
   update.scope = change.scope;
@@ -359,6 +366,23 @@
   Queue(std::move(update));
 }
 
+std::optional<std::string> Relay::TakeOut(const std::string& host) {
+  if (!table_.Lists(host) && !table_.IsOut(host)) return "no host " + host + " is listed";
+  if (!journal_.TakeOut(host))
+    return "it can't be put on record: too many hosts are out, or the disk is full";
+  Tell(table_.TakeOut(host));
+  counters_.hosts_out = journal_.out().size();
+  return std::nullopt;
+}
+
+std::optional<std::string> Relay::PutBack(const std::string& host) {
+  if (!table_.Lists(host) && !table_.IsOut(host)) return "no host " + host + " is listed or out";
+  if (!journal_.PutBack(host)) return "it can't be put on record: the disk is full";
+  Tell(table_.PutBack(host));
+  counters_.hosts_out = journal_.out().size();
+  return std::nullopt;
+}
+
 void Relay::RoutingFailed() {
   counters_.list_failures += 1;
   Queue(wheathub::ListUpdate{wheathub::ListScope::kFailed, 0, {}});
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <iosfwd>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "journal/journal.hpp"
 #include "relay/counters.hpp"
 #include "relay/ports.hpp"
+#include "relay/table.hpp"
 #include "wheathub/decide.hpp"
 
 namespace oxbowspread::relay {
@@ -51,6 +53,11 @@
   void RoutingFailed();
   void NoticeTaken(const std::string& id);
 
+  // Maintenance, from the operators: on record, and binding, once it returns nothing; else why not. A host
+  // that is out counts as draining whatever is listed; it comes back cold.
+  std::optional<std::string> TakeOut(const std::string& host);
+  std::optional<std::string> PutBack(const std::string& host);
+
   // One batch of events through the module, its actions in order.
   void Turn();
   // From now on nothing new is sent; legs that are out still end, on record.
@@ -78,6 +85,7 @@
     Time ends_at{0};
   };
 
+  void Tell(const RoutingChange& change);
   int ClassOf(const std::string& name) const;
   void Wake();
   void Queue(wheathub::Event event);
@@ -103,6 +111,7 @@
   wheathub::Settings settings_;
   wheathub::Decider decider_;
   journal::Journal& journal_;
+  Table table_;
   Sides sides_;
   Counters& counters_;
   std::vector<wheathub::Event> events_;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -790,6 +790,31 @@
   }
 }
 
+// One that drained and is back was restarted: it is cold, and gets no backlog at once.
+TEST(List, AnEndpointThatDrainedComesBackCold) {
+  const auto sent_at_once = [](bool drained) {
+    Settings s = BasicSettings();
+    s.weights = WeightMeaning::kRough;
+    s.senders = 1;
+    Rig rig(s);
+    EndpointInfo a = At("a", 7);
+    a.weight = 2;
+    rig.List({a});
+    a.lifecycle = drained ? Lifecycle::kDraining : Lifecycle::kUp;
+    rig.List({a}, ListScope::kChanges);
+    a.lifecycle = Lifecycle::kUp;
+    rig.List({a}, ListScope::kChanges);
+    int sent = 0;
+    for (int i = 0; i < 20; ++i) {
+      rig.Do({rig.New(Id(i), 0)});
+      rig.Pass(100ms);
+      sent += rig.Sends(Id(i));
+    }
+    return sent;
+  };
+  EXPECT_LT(sent_at_once(true), sent_at_once(false));
+}
+
 TEST(List, AWholeListReplacesTheOldOneAndDropsItsState) {
   Rig rig;
   rig.List({At("a", 7), At("b", 8)});
--- /dev/null
+++ b/tests/relay/door_test.cpp
@@ -0,0 +1,148 @@
+// The operators' door, and hosts taken out for maintenance.
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "door/call.hpp"
+#include "rig.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+using door::CallReader;
+
+struct Doored {
+  World world;
+  RelayProcess relay{world};
+  Socket reserved = Socket::Listen();  // a free port, taken over by the relay
+  int port = reserved.port();
+
+  explicit Doored(int hosts = 1) {
+    for (int i = 0; i < hosts; ++i) world.AddHost(std::string(1, static_cast<char>('a' + i)), 7);
+    reserved.Close();
+    relay.config["mgmt"] = "127.0.0.1:" + std::to_string(port);
+  }
+  std::string Ask(const std::string& line) const {
+    const Socket s = Socket::Connect(port);
+    s.Send(line + "\n");
+    std::string text;
+    bool ended = false;
+    while (!ended) {
+      const std::string more = s.Receive(3s, &ended);
+      if (more.empty()) break;
+      text += more;
+    }
+    return text.substr(0, text.find('\n'));
+  }
+};
+
+TEST_CASE("a call at the door is one line of a word and perhaps an argument, cut at any byte") {
+  const std::string line = "exclude s-1\r\n";
+  for (std::size_t cut = 0; cut <= line.size(); ++cut) {
+    CallReader reader;
+    reader.Feed(line.substr(0, cut));
+    reader.Feed(line.substr(cut));
+    REQUIRE(reader.state() == CallReader::State::kWhole);
+    CHECK(reader.call().word == "exclude");
+    CHECK(reader.call().argument == "s-1");
+  }
+  for (const std::string bad : {"\n", "a b c\n", "a\tb\n"}) {
+    CallReader reader;
+    reader.Feed(bad);
+    CHECK(reader.state() == CallReader::State::kBad);
+  }
+  CallReader endless;
+  CHECK(endless.Feed(std::string(10000, 'x')) <= CallReader::kLongest + 1);
+  CHECK(endless.state() == CallReader::State::kBad);
+}
+
+TEST_CASE("the door says whether the relay serves, and answers what it doesn't know by an error") {
+  Doored r;
+  r.relay.Start();
+  CHECK(r.Ask("readyz") == "done");
+  CHECK(r.Ask("frobnicate").substr(0, 6) == "error ");
+  CHECK(r.Ask("exclude").substr(0, 6) == "error ");
+  CHECK(r.Ask("exclude nobody").substr(0, 6) == "error ");
+  CHECK(r.Ask("include nobody").substr(0, 6) == "error ");
+  // Not ready while it ends: a client that waits for its answer keeps it up.
+  Client client(r.relay);
+  client.Put("held");
+  REQUIRE(client.Line() == "+OK");
+  r.world.NextCall();
+  r.relay.Signal(SIGTERM);
+  r.world.Until([&] { return r.Ask("readyz") == "error draining"; });
+}
+
+TEST_CASE("the door answers beside callers that say nothing, half a line, or no end of it, and 300 clients") {
+  Doored r;
+  r.relay.Start();
+  std::vector<Socket> clients, stuck;
+  for (int i = 0; i < 300; ++i) clients.push_back(Socket::Connect(r.relay.port()));
+  for (int i = 0; i < 60; ++i) {
+    stuck.push_back(Socket::Connect(r.port));
+    if (i % 3 == 1) stuck.back().Send("read");
+    if (i % 3 == 2) stuck.back().Send(std::string(100000, 'x'));
+  }
+  const auto before = Clock::now();
+  CHECK(r.Ask("readyz") == "done");
+  CHECK(Clock::now() - before < 1s);
+  Client client(r.relay);
+  client.Put("m");
+  CHECK(client.Line() == "+OK");
+}
+
+TEST_CASE("a host that is out gets nothing new, whatever the list says, until it is put back") {
+  Doored r(2);
+  r.relay.Start();
+  CHECK(r.Ask("exclude a") == "done");
+  CHECK(r.Ask("exclude a") == "done");
+  // Discovery lists it anew, at another address, gone and back: it stays out.
+  r.world.SetState("a", "Ready");
+  r.world.SetState("a", "Gone");
+  r.world.SetState("a", "Ready");
+  Client client(r.relay);
+  for (int i = 0; i < 6; ++i) {
+    client.Put("m" + std::to_string(i));
+    REQUIRE(client.Line() == "+OK");
+    const HttpRequest call = r.world.NextCall();
+    CHECK(r.world.HostOf(call) == "b");
+    r.world.Answer(call, "200 OK");
+  }
+  r.world.Until([&] { return client.Counters().at("delivered") == 6; });
+  // Also in the next life.
+  r.relay.Signal(SIGKILL);
+  r.relay.WaitForEnd();
+  r.relay.Start();
+  CHECK(r.Ask("exclude b") == "done");
+  Client again(r.relay);
+  CHECK(again.Counters().at("hosts_out") == 2);
+  // All hosts of the destination are out: the message waits.
+  again.Put("waits");
+  REQUIRE(again.Line() == "+OK");
+  CHECK_FALSE(r.world.CallWithin(400ms));
+  CHECK(r.Ask("include a") == "done");
+  CHECK(r.world.HostOf(r.world.NextCall()) == "a");
+  CHECK(r.Ask("include a") == "done");
+}
+
+TEST_CASE("a leg that is out at a host taken out is finished, and one still connecting is not written") {
+  Doored r(1);
+  r.relay.Start();
+  Client client(r.relay);
+  client.Put("out");
+  REQUIRE(client.Line() == "+OK");
+  const HttpRequest call = r.world.NextCall();
+  CHECK(r.Ask("exclude a") == "done");
+  client.Put("new");
+  REQUIRE(client.Line() == "+OK");
+  CHECK_FALSE(r.world.CallWithin(300ms));
+  r.world.Answer(call, "200 OK");
+  r.world.Until([&] { return client.Counters().at("delivered") == 1; });
+  CHECK(r.Ask("include a") == "done");
+  CHECK(r.world.NextCall().id() == "new");
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
