--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -62,6 +62,8 @@
   Time repeat_window{0};
   double worth = 1;
   double late_value = 0;  // share of the worth left at the deadline
+
+  bool operator==(const MessageClass&) const = default;
 };
 
 struct Tenant {
@@ -188,8 +190,14 @@
   std::string token;
 };
 
-using Event =
-    std::variant<ListUpdate, Message, Withdrawn, StreamStarted, AttemptEnded, ProbeEnded, PeerNote, TimerDue>;
+// Other settings from now on. A class keeps its number while anything is held under it, and there are never
+// fewer; tenants stay as they were. They must be such that a Decider could be made with them.
+struct NewSettings {
+  Settings settings;
+};
+
+using Event = std::variant<ListUpdate, Message, Withdrawn, StreamStarted, AttemptEnded, ProbeEnded, PeerNote,
+                           TimerDue, NewSettings>;
 
 // ---- actions ----
 
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -77,7 +77,7 @@
         discovery_address_(AddressOf("discovery", c.discovery)),
         journal_(c.state, c.disk_bytes),
         clock_(loop_),
-        issuer_(loop_, {c.most_lines(), c.settings.connect_timeout, c.settings.keepalive}, counters_),
+        issuer_(loop_, LimitsOf(c), counters_),
         discovery_(loop_, discovery_address_, c.discovery, NamesOf(c), counters_),
         notices_(loop_, discovery_address_, c.discovery, counters_),
         relay_(c.settings, c.seed, journal_, {clock_, issuer_, discovery_, notices_}, counters_),
@@ -116,6 +116,10 @@
     return names;
   }
 
+  static issuer::Issuer::Limits LimitsOf(const config::Config& c) {
+    return {c.most_lines(), c.settings.connect_timeout, c.settings.keepalive};
+  }
+
   void Entered(Phase phase) {
     // Who reads "serving" connects: it is written when that works.
     if (phase != Phase::kServing) std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
@@ -267,14 +271,19 @@
     try {
       config::Config next = config::Reread(config_);
       const net::Address discovery = AddressOf("discovery", next.discovery);
+      relay_.Renew(next.settings);  // throws before anything has changed
       for (const std::string& key : config::NeedingRestart(config_, next)) {
         std::cout << config_.name << ": reload: " << key << " stays as it is until a restart" << std::endl;
       }
       const std::string old = std::exchange(config_.discovery, next.discovery);
       config_.sockets = next.sockets;
+      config_.text = next.text;
+      config_.settings = next.settings;
+      config_.zones = next.zones;
+      discovery_.SetNames(NamesOf(config_));
       counters_.reloads += 1;
       std::cout << config_.name << ": reloaded, discovery at " << config_.discovery << std::endl;
-      issuer_.SetMostLines(config_.most_lines());
+      issuer_.SetLimits(LimitsOf(config_));
       if (acquirers_) acquirers_->SetMost(config_.most_clients());
       if (old == config_.discovery) return std::nullopt;
       discovery_.MoveTo(discovery, config_.discovery);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/shape.hpp"
 #include "wire.hpp"
 
 namespace oxbowspread::config {
@@ -98,6 +99,7 @@
   const Json root = Json::parse(text, nullptr, false);
   if (!root.is_object()) throw Error("ROUTER_CONFIG", "holds no JSON object");
   Config c;
+  c.text = text;
   c.name = Text(root, "name");
   c.listen = Text(root, "listen");
   c.discovery = Text(root, "discovery");
@@ -114,6 +116,7 @@
   c.known = root.value("known", Json::object()).dump();
   const auto settings = root.find("settings");
   if (settings == root.end() || !settings->is_object()) throw Error("settings", "must be an object");
+  CheckSettings(*settings);
   std::vector<std::string> report_fields;
   try {
     c.settings_text = settings->dump();
@@ -146,6 +149,7 @@
 
 Config Reread(const Config& running) {
   Config c = FromText(FileText());
+  CheckShape(Json::parse(running.text), Json::parse(c.text));
   Override("ROUTER_NAME", &c.name);
   Override("ROUTER_LISTEN", &c.listen);
   Override("ROUTER_STATE", &c.state);
@@ -163,7 +167,12 @@
   if (next.state != running.state) keys.emplace_back("state");
   if (next.mgmt != running.mgmt) keys.emplace_back("mgmt");
   if (next.disk_bytes != running.disk_bytes) keys.emplace_back("limits.disk_mb");
-  if (next.settings_text != running.settings_text) keys.emplace_back("settings");
+  const auto& was = running.settings.tenants;
+  const auto& is = next.settings.tenants;
+  const bool same = std::equal(
+      was.begin(), was.end(), is.begin(), is.end(),
+      [](const auto& a, const auto& b) { return a.name == b.name && a.quota_per_s == b.quota_per_s; });
+  if (!same) keys.emplace_back("settings.projects");
   return keys;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -28,6 +28,7 @@
   std::size_t sockets = 1024;
   std::size_t disk_bytes = 3'000'000;  // limits.disk_mb, which may be a fraction
   std::string known;                   // discovery's list as last had, as JSON text
+  std::string text;                    // the whole file, to hold the next one against
   std::string settings_text;           // as told, to see whether they changed
   wheathub::Settings settings;
   std::vector<std::string> zones;  // their names, in the settings' order
@@ -43,8 +44,9 @@
 
 // From the file that $ROUTER_CONFIG names; the other $ROUTER_ variables fill in and win. Throws Error.
 Config FromEnvironment();
-// The same file read anew beside the running configuration. The environment is as old as the process, so the
-// file's `discovery` wins over $ROUTER_DISCOVERY now. Throws Error.
+// The same file read anew beside the running configuration: as whole as that, else it is turned down. The
+// environment is as old as the process, so the file's `discovery` wins over $ROUTER_DISCOVERY now. Throws
+// Error.
 Config Reread(const Config& running);
 // The keys in which two configurations differ and that only a restart can change.
 std::vector<std::string> NeedingRestart(const Config& running, const Config& next);
--- /dev/null
+++ b/src/config/shape.hpp
@@ -0,0 +1,15 @@
+// Whether a configuration read anew is whole: it may say other things than the running one, but nothing that
+// the running one says may be missing or of another kind.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace oxbowspread::config {
+
+// Throws Error that names the first key at fault, as a path such as "settings.limits.send-cap".
+void CheckShape(const nlohmann::json& running, const nlohmann::json& next);
+
+// Times and numbers of attempts that no relay could work with, whatever it runs with. Throws Error.
+void CheckSettings(const nlohmann::json& settings);
+
+}  // namespace oxbowspread::config
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -906,6 +906,10 @@
     const auto it = endpoints_.find(ended.endpoint);
     if (it != endpoints_.end()) Learn(it->second, ended, now_ - ended.latency, true, true);
   }
+  void On(const NewSettings& n) {
+    s_ = n.settings;
+    for (auto& [id, d] : destinations_) d.lanes.resize(s_.classes.size() * 2), Touch(d);
+  }
   void On(const PeerNote&) {}
   void On(const TimerDue&) {}
 
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -28,7 +28,7 @@
   Issuer(net::Loop& loop, const Limits& limits, relay::Counters& counters);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
 
-  void SetMostLines(std::size_t most) { limits_.most_lines = most; }
+  void SetLimits(const Limits& limits) { limits_ = limits; }
 
   void Adopt(const relay::RoutingChange& change) override;
   void Begin(relay::LegOrder order) override;
--- a/src/journal/entry.hpp
+++ b/src/journal/entry.hpp
@@ -16,6 +16,8 @@
   std::string id;
   std::string key;         // idempotency key; empty: none
   std::string class_name;  // as in the settings
+  // The class as it was when this was taken on; nothing in a journal of an early version.
+  std::optional<wheathub::MessageClass> rules;
   std::int64_t destination = 0;
   Time ends_at{0};  // Unix time
   bool again = false;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kFrame = 8;
 constexpr std::size_t kLongest = 256 * 1024;  // of a payload: more is no record
-constexpr std::size_t kRecordsOfOne = 512;    // what an entry takes beside its body, at most
+constexpr std::size_t kRecordsOfOne = 560;    // what an entry takes beside its body, at most
 // Old and new file stand side by side while one is rewritten, and both count: .45 + .45 of the budget.
 constexpr double kFileShare = 0.45;
 constexpr double kLiveShare = 0.38;  // less, else a full journal would be rewritten at each append
@@ -37,6 +37,11 @@
     bytes_ += text;
     return *this;
   }
+  Writer& Put(const wheathub::MessageClass& c) {
+    Put(static_cast<std::uint8_t>(c.semantics)).Put(std::uint8_t{c.repeats_bound_to_zone});
+    Put(std::uint8_t{c.ordered}).Put(c.aim.count()).Put(c.deadline.count());
+    return Put(c.repeat_window.count()).Put(c.worth).Put(c.late_value);
+  }
   Writer& Put(const Leg& leg) { return Put(leg.host).Put(std::int32_t{leg.zone}).Put(leg.at.count()); }
   const std::string& bytes() const { return bytes_; }
 
@@ -74,7 +79,21 @@
     leg.at = Time(Get<Time::rep>());
     return leg;
   }
+  wheathub::MessageClass GetClass(const std::string& name) {
+    wheathub::MessageClass c;
+    c.name = name;
+    c.semantics = static_cast<wheathub::Semantics>(Get<std::uint8_t>());
+    c.repeats_bound_to_zone = Get<std::uint8_t>() != 0;
+    c.ordered = Get<std::uint8_t>() != 0;
+    c.aim = Time(Get<Time::rep>());
+    c.deadline = Time(Get<Time::rep>());
+    c.repeat_window = Time(Get<Time::rep>());
+    c.worth = Get<double>();
+    c.late_value = Get<double>();
+    return c;
+  }
   bool good() const { return good_; }
+  bool empty() const { return rest_.empty(); }
 
  private:
   std::string_view rest_;
@@ -94,6 +113,7 @@
   // The history that a rewritten file carries on; the open leg follows as a record of its own.
   w.Put(std::int32_t{e.legs - (e.open ? 1 : 0)}).Put(e.last_host);
   w.Put(static_cast<std::uint8_t>(e.first_risk.has_value())).Put(e.first_risk.value_or(Leg()));
+  if (a.rules) w.Put(*a.rules);
   return w.bytes();
 }
 std::string LegBegun(const std::string& id, const Leg& leg) {
@@ -187,6 +207,7 @@
     const bool risk = p.Get<std::uint8_t>() != 0;
     const Leg first = p.GetLeg();
     if (risk) e.first_risk = first;
+    if (!p.empty()) a.rules = p.GetClass(a.class_name);
     if (p.good()) Keep(std::move(e));
     return p.good();
   }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -21,8 +21,9 @@
 
 Relay::Relay(wheathub::Settings settings, std::uint64_t seed, journal::Journal& journal, const Sides& sides,
              Counters& counters)
-    : settings_(settings),
-      decider_(std::move(settings), seed),
+    : classes_(settings.classes),
+      settings_(Merged(std::move(settings), classes_, journal)),
+      decider_(settings_, seed),
       journal_(journal),
       sides_(sides),
       counters_(counters) {
@@ -30,16 +31,35 @@
   counters_.hosts_out = journal_.out().size();
 }
 
-int Relay::ClassOf(const std::string& name) const {
-  const auto& all = settings_.classes;
-  const auto it = std::find_if(all.begin(), all.end(), [&](const auto& c) { return c.name == name; });
-  return it == all.end() ? -1 : static_cast<int>(it - all.begin());
+// What an earlier life took on keeps the class that it had then, even if the settings don't hold it any more.
+wheathub::Settings Relay::Merged(wheathub::Settings settings, Classes& classes,
+                                 const journal::Journal& journal) {
+  for (const auto& [id, entry] : journal.entries()) {
+    if (entry.authorisation.rules && !entry.ending) classes.NumberOf(*entry.authorisation.rules);
+  }
+  settings.classes = classes.all();
+  return settings;
+}
+
+void Relay::Renew(wheathub::Settings settings) {
+  wheathub::Decider(settings, 0);  // throws, before anything has changed
+  std::set<int> held;
+  for (const auto& [id, h] : held_) held.insert(h.message_class);
+  for (const auto& [id, fresh] : fresh_) held.insert(ClassOf(fresh.authorisation));
+  classes_.Renew(settings.classes, held);
+  settings.classes = classes_.all();
+  settings_ = settings;
+  Queue(wheathub::NewSettings{std::move(settings)});
+}
+
+int Relay::ClassOf(const journal::Authorisation& authorisation) {
+  if (authorisation.rules) return classes_.NumberOf(*authorisation.rules);
+  return classes_.Current(authorisation.class_name);
 }
 
 bool Relay::NeedsKey(const std::string& class_name) const {
-  const int c = ClassOf(class_name);
-  return c >= 0 &&
-         settings_.classes[static_cast<std::size_t>(c)].semantics == wheathub::Semantics::kDeduplicated;
+  const int c = classes_.Current(class_name);
+  return c >= 0 && classes_.at(c).semantics == wheathub::Semantics::kDeduplicated;
 }
 
 void Relay::Queue(wheathub::Event event) {
@@ -73,11 +93,11 @@
   Turn();
 }
 
-wheathub::Message Relay::MessageOf(const journal::Entry& entry) const {
+wheathub::Message Relay::MessageOf(const journal::Entry& entry) {
   const journal::Authorisation& a = entry.authorisation;
   wheathub::Message m;
   m.id = a.id;
-  m.message_class = ClassOf(a.class_name);
+  m.message_class = ClassOf(a);
   m.destination = a.destination;
   m.expires_in = a.ends_at - sides_.clock.UnixNow();
   m.again = a.again;
@@ -114,6 +134,8 @@
     from.Refused(kComeAgain);
     return;
   }
+  const int c = classes_.Current(authorisation.class_name);
+  if (c >= 0) authorisation.rules = classes_.at(c);
   journal::Entry entry;
   entry.authorisation = authorisation;
   wheathub::Message message = MessageOf(entry);
@@ -178,7 +200,7 @@
     return false;
   }
   counters_.taken_on += 1;
-  held_[a.id] = {fresh.ends_at, 0, ClassOf(a.class_name)};
+  held_[a.id] = {fresh.ends_at, 0, ClassOf(a)};
   return true;
 }
 
@@ -233,11 +255,11 @@
   order.give_up_at = held.ends_at;
   if (send.timeout > Time(0)) order.give_up_at = std::min(order.give_up_at, now + send.timeout);
   order.write_before = held.ends_at;
-  const auto c = static_cast<std::size_t>(held.message_class);
-  if (entry.first_risk && settings_.classes[c].semantics == wheathub::Semantics::kDeduplicated) {
+  const wheathub::MessageClass& c = classes_.at(held.message_class);
+  if (entry.first_risk && c.semantics == wheathub::Semantics::kDeduplicated) {
     // The module keeps to the window when it sends; a connection that takes its time must not slip past it.
     const Time since = sides_.clock.UnixNow() - entry.first_risk->at;
-    order.write_before = std::min(order.write_before, now - since + settings_.classes[c].repeat_window);
+    order.write_before = std::min(order.write_before, now - since + c.repeat_window);
   }
   return order;
 }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "journal/journal.hpp"
+#include "relay/classes.hpp"
 #include "relay/counters.hpp"
 #include "relay/ports.hpp"
 #include "relay/table.hpp"
@@ -37,8 +38,8 @@
   // From the acquirer side. Answered through `from`, later or at once.
   void Submit(journal::Authorisation authorisation, Acquirer& from);
   void Withdraw(Acquirer& from);
-  // Where the module knows no class of that name.
-  bool KnowsClass(const std::string& name) const { return ClassOf(name) >= 0; }
+  // Whether clients may name it.
+  bool KnowsClass(const std::string& name) const { return classes_.Current(name) >= 0; }
   // A keyed class is of no use without its key: a repeat would run twice.
   bool NeedsKey(const std::string& class_name) const;
   // Whether any list so far named a host of it. Also true before the first list: then nothing can be told.
@@ -58,6 +59,10 @@
   std::optional<std::string> TakeOut(const std::string& host);
   std::optional<std::string> PutBack(const std::string& host);
 
+  // Other settings from the next Step on; what is held keeps the class under which it was taken on. Throws
+  // std::invalid_argument, and changes nothing, if the module can't work with them.
+  void Renew(wheathub::Settings settings);
+
   // One batch of events through the module, its actions in order.
   void Turn();
   // From now on nothing new is sent; legs that are out still end, on record.
@@ -86,10 +91,10 @@
   };
 
   void Tell(const RoutingChange& change);
-  int ClassOf(const std::string& name) const;
+  int ClassOf(const journal::Authorisation& authorisation);
   void Wake();
   void Queue(wheathub::Event event);
-  wheathub::Message MessageOf(const journal::Entry& entry) const;
+  wheathub::Message MessageOf(const journal::Entry& entry);
   void AnswerFresh(const std::vector<wheathub::Action>& actions);
   bool TakeOn(const Fresh& fresh);
   void End(const std::string& id, const journal::Ending& ending);
@@ -108,7 +113,11 @@
   void Do(const wheathub::Probe& probe);
   void Do(const wheathub::TellPeers&) {}  // peers are out of reach here; the settings never allow it
 
-  wheathub::Settings settings_;
+  static wheathub::Settings Merged(wheathub::Settings settings, Classes& classes,
+                                   const journal::Journal& journal);
+
+  Classes classes_;
+  wheathub::Settings settings_;  // with all classes, by number
   wheathub::Decider decider_;
   journal::Journal& journal_;
   Table table_;
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -20,6 +20,8 @@
             relay::Counters& counters);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
   void Known(std::int64_t revision) { revision_ = revision; }
+  // Zones and kinds are named so from now on.
+  void SetNames(Names names) { names_ = std::move(names); }
   // Discovery is somewhere else now: what is asked for is asked for there, at once.
   void MoveTo(const net::Address& address, std::string host);
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -41,6 +41,23 @@
   EXPECT_EQ(rig.decider.held().messages, 0u);
 }
 
+TEST(Settings, ThatAreNewBindWhatComesAndLeaveWhatIsHeld) {
+  Settings s = BasicSettings();
+  Rig rig(s);
+  rig.List({At("a", 7)});
+  rig.Do({rig.New("held", 0)});
+  const int added = static_cast<int>(s.classes.size());
+  s.classes.push_back(Class(Semantics::kAtMostOnce));
+  s.max_attempts = 1;
+  rig.Do({NewSettings{s}, rig.New("new", added)});
+  EXPECT_EQ(rig.Sends("new"), 1);
+  rig.now += 100ms;
+  rig.Do({rig.End("new", Outcome::kError)});
+  EXPECT_TRUE(rig.Failed("new"));
+  rig.Do({rig.End("held", Outcome::kRefused)});
+  EXPECT_TRUE(rig.Refused("held")) << "its one attempt is spent";
+}
+
 // ---- semantics x outcome ----
 
 struct Case {
