--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -28,6 +28,8 @@
 #include <variant>
 #include <vector>
 
+#include "wheathub/beliefs.hpp"
+
 namespace wheathub {
 
 using Time = std::chrono::microseconds;  // a moment, or a span
@@ -135,6 +137,8 @@
   Time since_risk{0};  // since the send of the first attempt that may have run, and its zone
   int risk_zone = 0;
   EndpointId last_endpoint{};
+  bool out = false;    // its last send is still out: an AttemptEnded comes for it
+  Time since_sent{0};  // of that one
 };
 
 struct Message {
@@ -197,7 +201,7 @@
 };
 
 using Event = std::variant<ListUpdate, Message, Withdrawn, StreamStarted, AttemptEnded, ProbeEnded, PeerNote,
-                           TimerDue, NewSettings>;
+                           TimerDue, NewSettings, Belief>;
 
 // ---- actions ----
 
@@ -263,6 +267,10 @@
   };
   Held held() const;
 
+  // Of all endpoints known. A new Decider that gets them as events, right after a list that names them and
+  // before any message, goes on from there.
+  std::vector<Belief> beliefs() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -134,6 +134,19 @@
   return Claim::kServed;
 }
 
+Passed Client::passed() const {
+  net::Connection::Rest rest = connection_.rest();
+  return {rest.fd, parser_.Unfinished(), std::move(rest.in), std::move(rest.out), asked_};
+}
+
+void Client::TakeUp(const Passed& passed) {
+  asked_ = passed.asked;
+  parser_.Feed(passed.unfinished);
+  connection_.TakeUp(passed.in, passed.out);
+  next_.After(net::Time(0));
+  Watch();
+}
+
 void Client::OnClosed() { Leave(); }
 
 void Client::Leave() {
@@ -146,10 +159,11 @@
 
 // ---- all clients ----
 
-Acquirers::Acquirers(net::Loop& loop, const net::Address& address, std::size_t most, relay::Relay& relay,
-                     relay::Counters& counters, Report report)
+Acquirers::Acquirers(net::Loop& loop, const net::Address& address, int inherited, std::size_t most,
+                     relay::Relay& relay, relay::Counters& counters, Report report)
     : loop_(loop),
       address_(address),
+      inherited_(inherited),
       most_(most),
       relay_(relay),
       counters_(counters),
@@ -157,6 +171,21 @@
   OpenDoor();
 }
 
+std::vector<Passed> Acquirers::passed() const {
+  std::vector<Passed> all;
+  for (const auto& [client, owned] : clients_) {
+    if (client->open()) all.push_back(client->passed());
+  }
+  return all;
+}
+
+void Acquirers::TakeUp(const Passed& passed) {
+  counters_.clients += 1;
+  auto client = std::make_unique<Client>(loop_, passed.fd, *this);
+  client->TakeUp(passed);
+  clients_.emplace(client.get(), std::move(client));
+}
+
 void Acquirers::Accept(int fd) {
   // Descriptors are shared with the issuer side: clients may not take them all.
   // Room is kept before it runs out: the platform's clients open no more than their share, so one who stays
@@ -202,7 +231,12 @@
 void Acquirers::CloseDoor() { listener_.reset(); }
 
 void Acquirers::OpenDoor() {
-  if (!listener_) listener_.emplace(loop_, address_, [this](int fd) { Accept(fd); });
+  const auto accepted = [this](int fd) { Accept(fd); };
+  if (!listener_ && inherited_ >= 0) {
+    listener_.emplace(loop_, inherited_, accepted);
+  } else if (!listener_) {
+    listener_.emplace(loop_, address_, accepted);
+  }
   closing_ = false;
 }
 
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -18,6 +18,14 @@
 
 class Acquirers;
 
+// A client as another process goes on with it. Its descriptor stays this one's.
+struct Passed {
+  int fd = -1;
+  std::string unfinished;  // the bytes of a command that is not whole
+  std::string in, out;     // come and not looked at, and not yet taken by the system
+  bool asked = false;
+};
+
 class Client final : public net::Connection::User, public relay::Acquirer {
  public:
   Client(net::Loop& loop, int fd, Acquirers& all);
@@ -30,6 +38,9 @@
   Claim claim(net::Time now) const;
   net::Time quiet_since() const { return quiet_since_; }
   void Close() { connection_.Close(); }
+  bool open() const { return connection_.connected(); }
+  Passed passed() const;
+  void TakeUp(const Passed& passed);
 
  private:
   void OnBytes(proto::RingBuffer& in) override;
@@ -58,9 +69,14 @@
  public:
   using Report = std::function<std::string()>;
 
-  // Listens at once. Throws std::system_error.
-  Acquirers(net::Loop& loop, const net::Address& address, std::size_t most, relay::Relay& relay,
-            relay::Counters& counters, Report report);
+  // Listens at once, at `inherited` if that is a descriptor: a socket that somebody else has bound and keeps.
+  // Throws std::system_error.
+  Acquirers(net::Loop& loop, const net::Address& address, int inherited, std::size_t most,
+            relay::Relay& relay, relay::Counters& counters, Report report);
+  // All clients, for another process; Relay::Freeze comes before, so that none waits for an answer.
+  std::vector<Passed> passed() const;
+  // One that another process had. The descriptor is this one's now.
+  void TakeUp(const Passed& passed);
   // No new clients; those that are here are served on.
   void CloseDoor();
   // New clients again, at the same address. Throws std::system_error where somebody else has taken it.
@@ -80,6 +96,7 @@
 
   net::Loop& loop_;
   net::Address address_;
+  int inherited_;
   std::size_t most_;
   relay::Relay& relay_;
   relay::Counters& counters_;
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -17,6 +17,8 @@
 #include "config/config.hpp"
 #include "control/server.hpp"
 #include "door/door.hpp"
+#include "handover/new_process.hpp"
+#include "handover/old_process.hpp"
 #include "issuer/issuer.hpp"
 #include "journal/folder_lock.hpp"
 #include "journal/journal.hpp"
@@ -37,6 +39,9 @@
 using relay::kSettleAt;
 using relay::kStopAt;
 constexpr net::Time kPausedLookEach = 100ms;
+// A new process is wanted ready 6 s after its start; the old one may be a moment from being able to give
+// over.
+constexpr handover::Limit kTakeWithin = 5s;
 
 // Exit codes. 1: something that can't work, by README's rule for the start.
 using apps::kBadInput;
@@ -44,8 +49,9 @@
 
 // What operators add on the command line; all of it is off by default.
 struct Options {
-  std::string control;  // path of the control socket
-  std::string stamp;    // opaque; told again by `status`, so that whoever started it knows it again
+  char** argv = nullptr;  // as started
+  std::string control;    // path of the control socket
+  std::string stamp;      // opaque; told again by `status`, so that whoever started it knows it again
 };
 
 class WallClock final : public relay::Clock {
@@ -67,27 +73,34 @@
   return *address;
 }
 
-class Program {
+class Program final : public handover::Giver::Owner {
  public:
-  Program(const config::Config& c, Options options)
+  Program(const config::Config& c, Options options, handover::Start start)
       : config_(c),
         options_(std::move(options)),
-        lock_(c.state),
+        start_(std::move(start)),
         phases_([this](Phase phase) { Entered(phase); }),
         discovery_address_(AddressOf("discovery", c.discovery)),
-        journal_(c.state, c.disk_bytes),
+        journal_(c.state, c.disk_bytes, start_.StillOut()),
         clock_(loop_),
         issuer_(loop_, LimitsOf(c), counters_),
+        legs_(
+            loop_, issuer_,
+            [this](const std::string& host, relay::Time wait) { issuer_.ToldWait(host, wait); },
+            [this](const std::string& word, const std::string& argument) {
+              return Operate({word, argument}).value_or("");
+            }),
         discovery_(loop_, discovery_address_, c.discovery, NamesOf(c), counters_),
         notices_(loop_, discovery_address_, c.discovery, counters_),
-        relay_(c.settings, c.seed, journal_, {clock_, issuer_, discovery_, notices_}, counters_),
-        end_(loop_, SIGTERM, [this] { phases_.Enter(Phase::kDraining); }),
-        interrupt_(loop_, SIGINT, [this] { phases_.Enter(Phase::kDraining); }),
+        relay_(c.settings, c.seed, journal_, {clock_, legs_, discovery_, notices_}, counters_),
+        end_(loop_, SIGTERM, [this] { AskedToEnd(); }),
+        interrupt_(loop_, SIGINT, [this] { AskedToEnd(); }),
         report_(loop_, SIGUSR1, [this] { Report(); }),
         reload_(loop_, SIGHUP, [this] { Reload(); }),
         step_(loop_, [this] { Look(); }) {
     clock_.Attach(relay_);
     issuer_.Attach(relay_);
+    legs_.Attach(relay_);
     discovery_.Attach(relay_);
     notices_.Attach(relay_);
     counters_.journal_cut_bytes = journal_.cut_bytes();
@@ -130,8 +143,16 @@
         relay::RoutingChange known =
             routing::ReadList(config_.known, NamesOf(config_)).value_or(relay::RoutingChange());
         known.scope = wheathub::ListScope::kRemembered;
-        discovery_.Known(known.revision);
-        relay_.Recover(known);
+        const bool taken = start_.channel.has_value();
+        discovery_.Known(taken ? start_.estate.table.revision : known.revision);
+        if (taken) legs_.TakeOver(std::move(*start_.channel), start_.estate.out);
+        relay_.Recover(known, taken ? &start_.estate : nullptr);
+        issuer_.TakeWaits(start_.estate.waits);
+        if (taken) {
+          discovery_.WatchAhead();
+          std::cout << config_.name << ": took over " << start_.clients.size() << " clients and "
+                    << start_.estate.out.size() << " legs that go on in the old process" << std::endl;
+        }
         std::cout << config_.name << ": " << counters_.recovered << " authorisations and "
                   << counters_.recovered_notices << " notices owed, " << journal_.cut_bytes()
                   << " torn bytes cut" << std::endl;
@@ -142,8 +163,11 @@
         if (acquirers_) {
           acquirers_->OpenDoor();
         } else {
-          acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.most_clients(), relay_,
-                             counters_, [this] { return Text(); });
+          acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.listen_fd,
+                             config_.most_clients(), relay_, counters_, [this] { return Text(); });
+          for (const acquirer::Passed& client : start_.clients) acquirers_->TakeUp(client);
+          start_.clients.clear();
+          if (config_.listen_fd >= 0) OpenHandover();
         }
         std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
         break;
@@ -158,6 +182,9 @@
         relay_.Settle();
         if (acquirers_) acquirers_->SendAway();
         break;
+      case Phase::kGiven:
+        step_.After(kLookEach);
+        break;
       case Phase::kStopped:
         loop_.Stop();
         break;
@@ -168,6 +195,7 @@
   // asks.
   void Look() {
     if (phases_.now() == Phase::kServing) return;  // resumed
+    if (phases_.now() == Phase::kGiven) return LookGiven();
     const net::Time since = net::Loop::Now() - asked_at_;
     drain_ms_ = since / 1ms;
     if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
@@ -195,6 +223,56 @@
            relay_.out() == 0;
   }
 
+  // ---- handover to the next process ----
+
+  // Without it no other process can take over, which is no reason not to serve.
+  void OpenHandover() {
+    try {
+      old_.emplace(loop_, config_.state, *this);
+    } catch (const std::exception& e) {
+      std::cerr << config_.name << ": no handover can be asked for: " << e.what() << std::endl;
+    }
+  }
+  std::optional<std::string> Unable() const override {
+    if (phases_.now() == Phase::kServing) return std::nullopt;
+    return "the process that has it is " + std::string(relay::NameOf(phases_.now()));
+  }
+  relay::Estate Freeze() override {
+    relay::Estate estate = relay_.Freeze();
+    estate.waits = issuer_.Waits();
+    return estate;
+  }
+  std::vector<acquirer::Passed> Clients() const override { return acquirers_->passed(); }
+  int LockFd() const override { return start_.lock->fd(); }
+  void Given() override {
+    relay_.Given([this](const std::string& id, const relay::LegEnd& end) { old_->Tell(id, end); });
+    acquirers_.reset();
+    discovery_.Stop();
+    notices_.Stop();
+    issuer_.CloseAllIdle();
+    control_.reset();
+    start_.lock->Release();
+    phases_.Enter(Phase::kGiven);
+  }
+  void CutLeg(const std::string& id) override { relay_.CutGiven(id); }
+  // Nobody serves any more, unless the platform wanted this process to end: it begins anew, from the journal.
+  void Orphaned() override {
+    if (end_by_ > net::Time(0)) return;
+    std::cerr << config_.name << ": the process that took over has gone: starting anew" << std::endl;
+    execv("/proc/self/exe", options_.argv);
+    std::cerr << config_.name << ": can't start anew" << std::endl;
+    phases_.Enter(Phase::kStopped);
+  }
+  void AskedToEnd() {
+    if (phases_.now() == Phase::kGiven && end_by_ == net::Time(0)) end_by_ = net::Loop::Now() + kStopAt;
+    phases_.Enter(Phase::kDraining);
+  }
+  void LookGiven() {
+    const bool late = end_by_ > net::Time(0) && net::Loop::Now() >= end_by_;
+    if (late || relay_.out() == 0) return phases_.Enter(Phase::kStopped);
+    step_.After(kLookEach);
+  }
+
   // ---- the operators' door ----
 
   std::optional<std::string> Operate(const door::Call& call) {
@@ -207,6 +285,7 @@
       if (phases_.now() == Phase::kServing) return std::nullopt;
       return std::string(relay::NameOf(phases_.now()));
     }
+    if (phases_.now() == Phase::kGiven) return old_->Operate(call.word, call.argument);
     const bool out = call.word == "exclude";
     const auto why = out ? relay_.TakeOut(call.argument) : relay_.PutBack(call.argument);
     std::cout << config_.name << ": " << call.word << " " << call.argument << ": " << why.value_or("done")
@@ -268,6 +347,7 @@
 
   // A file that can't be used must not end what runs: the running configuration stays, and the log tells why.
   std::optional<std::string> Reload() {
+    if (phases_.now() == Phase::kGiven) return "is given over";
     try {
       config::Config next = config::Reread(config_);
       const net::Address discovery = AddressOf("discovery", next.discovery);
@@ -306,7 +386,7 @@
 
   config::Config config_;
   Options options_;
-  journal::FolderLock lock_;
+  handover::Start start_;  // the lock, and what was taken over until it is taken up
   relay::Counters counters_;
   net::Loop loop_;
   relay::Phases phases_;
@@ -314,6 +394,7 @@
   journal::Journal journal_;
   WallClock clock_;
   issuer::Issuer issuer_;
+  handover::Legs legs_;
   routing::Discovery discovery_;
   notice::Poster notices_;
   relay::Relay relay_;
@@ -321,13 +402,35 @@
   net::Signal end_, interrupt_, report_, reload_;
   net::Timer step_;
   net::Time asked_at_{0};
+  net::Time end_by_{0};  // once given over and asked to end; 0: not asked
   std::int64_t drain_ms_ = 0;
   bool door_closed_ = false;
   bool sent_away_ = false;
   std::optional<control::Server> control_;
   std::optional<door::Door> door_;
+  std::optional<handover::OldProcess> old_;
 };
 
+// The folder, and all that the process which has it gives over. What this one could fail by is tried before.
+handover::Start TakeStart(const config::Config& c) {
+  if (c.listen_fd < 0) {
+    handover::Start start;
+    start.lock = std::make_unique<journal::FolderLock>(c.state);
+    return start;
+  }
+  try {
+    net::Listener::Check(c.listen_fd);
+  } catch (const std::system_error& e) {
+    throw config::Error("ROUTER_LISTEN_FD", "descriptor " + std::to_string(c.listen_fd) + ": " + e.what());
+  }
+  AddressOf("discovery", c.discovery);
+  if (!c.mgmt.empty()) {
+    net::Loop loop;
+    net::Listener(loop, AddressOf("mgmt", c.mgmt), [](int fd) { close(fd); });
+  }
+  return handover::Take(c.state, kTakeWithin);
+}
+
 // What the file says, without starting anything: 0, or 2 and one line.
 int CheckConfig(const std::string& path) {
   std::ifstream file(path);
@@ -362,7 +465,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   net::Signal::HoldBack(SIGHUP);  // a reload asked for while the program starts
   try {
-    Program(config::FromEnvironment(), options).Run();
+    options.argv = argv;
+    const config::Config c = config::FromEnvironment();
+    Program(c, options, TakeStart(c)).Run();
   } catch (const journal::FolderLocked& e) {
     std::cerr << "oxbowspread: " << e.what() << "\n";
     return kFolderLocked;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -64,6 +64,19 @@
   if (text != nullptr && *text != '\0') *value = text;
 }
 
+// Whether it can be listened at is for whoever does; here only that it is a descriptor's number.
+int ListenFd() {
+  const char* text = std::getenv("ROUTER_LISTEN_FD");
+  if (text == nullptr || *text == '\0') return -1;
+  int fd = -1;
+  const char* const end = text + std::string_view(text).size();
+  const auto [at, code] = std::from_chars(text, end, fd);
+  if (code != std::errc() || at != end || fd < 0) {
+    throw Error("ROUTER_LISTEN_FD", "must be a descriptor's number, not '" + std::string(text) + "'");
+  }
+  return fd;
+}
+
 // The system may allow fewer descriptors than the deployment: the shares must be of what is really there.
 void FitToSystem(Config* c) {
   rlimit limit{};
@@ -142,6 +155,7 @@
   Override("ROUTER_DISCOVERY", &c.discovery);
   Override("ROUTER_STATE", &c.state);
   Override("ROUTER_MGMT", &c.mgmt);
+  c.listen_fd = ListenFd();
   Check(c);
   FitToSystem(&c);
   return c;
@@ -154,6 +168,7 @@
   Override("ROUTER_LISTEN", &c.listen);
   Override("ROUTER_STATE", &c.state);
   Override("ROUTER_MGMT", &c.mgmt);
+  c.listen_fd = running.listen_fd;
   if (c.discovery.empty()) c.discovery = running.discovery;
   Check(c);
   FitToSystem(&c);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -22,6 +22,7 @@
   std::string listen;     // address:port, loopback or the relay's own
   std::string discovery;  // address:port
   std::string state;      // the folder that lasts
+  int listen_fd = -1;     // the clients' listening socket, held by the platform; -1: none
   std::string mgmt;       // address:port of the operators' door; empty: none
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -85,7 +85,7 @@
 constexpr double kQuotaBurstS = 2;  // a tenant's share is counted over so long,
 constexpr double kQuotaBurst = 2;   // and over so many messages at least: one of many sees few
 
-constexpr Time kNever = Time::min() / 2;
+constexpr Time kNever = EndpointBelief::kNever;
 double Seconds(Time t) { return static_cast<double>(t.count()) * 1e-6; }
 Time Micros(double s) { return Time(static_cast<std::int64_t>(std::llround(s * 1e6))); }
 
@@ -101,17 +101,10 @@
 using CallKey = std::pair<MessageId, int>;
 using Order = std::pair<double, std::int64_t>;  // of messages, by a figure and then by arrival
 
-// What the design keeps per destination, or per endpoint where routes are apart.
-struct Route {
-  double tokens = kTokenCap;
-  Time gap{0}, next_send{0}, wait_until{0};
-  Time told_turn{0}, turn{0}, next_turn{0};  // between turns: by what was told (0: none), as learned
-  Time widened_at = Time::min();
-  double told_limit = 0;         // calls a second for all senders; 0: not told
+struct Route : RouteBelief {
   int endpoints = 0, calls = 0;  // listed, out
-  Time down_since{0}, backoff{0};
-  Time cold_until{0};       // an outage was seen here less than the warm-up ago
-  Time next_in_trouble{0};  // the next trial, or call to a cold endpoint
+
+  Route() { tokens = kTokenCap; }
 
   void EarnToken() { tokens = std::min(kTokenCap, tokens + kTokenPerFirstSend); }
   bool DrawToken() {
@@ -137,27 +130,17 @@
   Time KeptUntil() const { return endpoints > 0 ? Time::max() : std::max(wait_until, cold_until); }
 };
 
-enum class State { kUp, kDown, kCold };
-
-struct Endpoint {
+struct Endpoint : EndpointBelief {
   EndpointInfo info;
   Destination* home = nullptr;
   Route* route = nullptr;
   bool listed = false;
-  int calls = 0;           // out
-  std::vector<Call*> out;  // messages in them
-  double latency_s = Seconds(kLatencyGuess);
-  Time last_served = kNever, unconnected_at = kNever;  // last served call, last failed connect
-  Time served_sent = kNever;                           // latest send of a call that was served
-  State state = State::kUp;
-  int strikes = 0;           // failures in a row
-  double failing = 0;        // share of calls that failed while not down, moving mean
-  bool eats = false;         // the trouble may have run what it took: no place for an unsafe message
-  bool second_look = false;  // down by a lone failed connect
-  bool trying = false;       // a probe or a trial message is out
-  Time cold_since{0}, failed_at = kNever;
+  int calls = 0;                // out
+  std::vector<Call*> out;       // messages in them
+  bool trying = false;          // a probe or a trial message is out
   std::map<int, Time> shunned;  // by classes that failed here, until then
 
+  Endpoint() { latency_s = Seconds(kLatencyGuess); }
   bool Usable() const { return listed && info.lifecycle == Lifecycle::kUp; }
 };
 
@@ -272,6 +255,11 @@
     return std::move(actions_);
   }
 
+  std::vector<Belief> beliefs() const {
+    std::vector<Belief> all;
+    for (const auto& [id, e] : endpoints_) all.push_back({id, *e.route, e});
+    return all;
+  }
   Decider::Held held() const {
     std::size_t routes = 0;
     for (const auto& [id, d] : destinations_) routes += d.routes.size();
@@ -612,9 +600,7 @@
     if (e.state == State::kCold) e.route->next_in_trouble = now_ + ColdInterval(e);
     e.route->next_send = now_ + Drawn(e.route->gap);
     e.route->next_turn = e.route->TurnAt(now_) + Drawn(e.route->turn);
-    e.route->calls += 1;
-    e.calls += 1;
-    ++last_bundle_;
+    TakeUp(e);
     SendTo(p, e, trial);
     if (trial) return;
     for (int room = KindOf(e.info).bundle_max - 1; room > 0; --room) {
@@ -625,6 +611,11 @@
       SendTo(**next, e, false);
     }
   }
+  void TakeUp(Endpoint& e) {  // one more call
+    e.route->calls += 1;
+    e.calls += 1;
+    ++last_bundle_;
+  }
   void SendTo(Pending& p, Endpoint& e, bool trial) {
     if (p.sends == 0) e.route->EarnToken();
     Dequeue(p);
@@ -820,6 +811,13 @@
     p.last_endpoint = h.last_endpoint;
     Route unlisted;
     const auto last = endpoints_.find(h.last_endpoint);
+    if (h.out && last != endpoints_.end()) {  // sent already: all but the action
+      p.sends -= 1;
+      TakeUp(last->second);
+      SendTo(p, last->second, false);
+      calls_.at({p.m.id, h.sends - 1}).sent_at = now_ - h.since_sent;
+      return actions_.pop_back();
+    }
     RepeatOrEnd(p, last == endpoints_.end() ? unlisted : *last->second.route);
   }
   void On(const Withdrawn& w) {
@@ -910,6 +908,13 @@
     s_ = n.settings;
     for (auto& [id, d] : destinations_) d.lanes.resize(s_.classes.size() * 2), Touch(d);
   }
+  void On(const Belief& b) {
+    const auto it = endpoints_.find(b.endpoint);
+    if (it == endpoints_.end()) return;
+    static_cast<EndpointBelief&>(it->second) = b.health;
+    static_cast<RouteBelief&>(*it->second.route) = b.route;
+    Touch(*it->second.home);
+  }
   void On(const PeerNote&) {}
   void On(const TimerDue&) {}
 
@@ -968,5 +973,6 @@
   return impl_->Step(now, events);
 }
 Decider::Held Decider::held() const { return impl_->held(); }
+std::vector<Belief> Decider::beliefs() const { return impl_->beliefs(); }
 
 }  // namespace wheathub
--- /dev/null
+++ b/src/handover/new_process.cpp
@@ -0,0 +1,140 @@
+#include "handover/new_process.hpp"
+
+#include <unistd.h>
+
+#include <thread>
+#include <utility>
+
+namespace oxbowspread::handover {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Limit kEachWithin = 1s;  // the old process's next packet
+constexpr auto kLookEach = 20ms;   // whether the folder is free by now
+
+void CloseAll(const Taker& taker) {
+  for (const acquirer::Passed& client : taker.clients()) close(client.fd);
+  if (taker.lock_fd() >= 0) close(taker.lock_fd());
+}
+
+// Nothing: the other ended or was too slow, and owns it all still, or has died.
+std::optional<Start> AskFor(Channel& channel) {
+  Taker taker;
+  if (!channel.Send(Ask{kVersion, getpid()})) return std::nullopt;
+  while (taker.phase() < Taker::Phase::kOwner) {
+    auto received = channel.Receive(kEachWithin);
+    if (!received) break;
+    const auto answer = taker.Feed(std::move(received->packet), received->fd);
+    if (answer && !channel.Send(*answer)) break;
+  }
+  if (taker.phase() != Taker::Phase::kOwner) {
+    CloseAll(taker);
+    if (taker.phase() == Taker::Phase::kRefused) throw Refused(taker.why());
+    return std::nullopt;
+  }
+  return Start{std::make_unique<journal::FolderLock>(taker.lock_fd()), std::move(channel), taker.estate(),
+               taker.clients()};
+}
+
+}  // namespace
+
+std::set<std::string> Start::StillOut() const {
+  std::set<std::string> ids;
+  for (const relay::LegOut& leg : estate.out) ids.insert(leg.id);
+  return ids;
+}
+
+Start Take(const std::string& folder, Limit limit) {
+  const net::Time until = net::Loop::Now() + limit;
+  std::optional<Refused> refused;  // it may end, or serve again, within the limit
+  while (true) {
+    try {
+      Start start;
+      start.lock = std::make_unique<journal::FolderLock>(folder);
+      return start;
+    } catch (const journal::FolderLocked&) {
+      if (net::Loop::Now() >= until && refused) throw *refused;
+      if (net::Loop::Now() >= until) throw;
+    }
+    if (auto channel = Channel::Connect(folder)) {
+      try {
+        if (auto start = AskFor(*channel)) return std::move(*start);
+      } catch (const Refused& e) {
+        refused = e;
+      }
+    }
+    std::this_thread::sleep_for(kLookEach);
+  }
+}
+
+Legs::Legs(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate)
+    : own_(own),
+      told_wait_(std::move(told_wait)),
+      operate_(std::move(operate)),
+      io_(loop.ref()),
+      next_(loop, [this] {
+        for (const Packet& packet : std::exchange(kept_, {})) Feed(packet);
+      }) {
+  io_.set<Legs, &Legs::OnIo>(this);
+}
+
+void Legs::TakeOver(Channel channel, const std::vector<relay::LegOut>& out) {
+  channel_.emplace(std::move(channel));
+  for (const relay::LegOut& leg : out) elsewhere_[leg.id] = leg.host;
+  io_.start(channel_->fd(), ev::READ);
+}
+
+void Legs::OnIo(ev::io&, int) {
+  if (!channel_) return;
+  if (auto received = channel_->Receive(Limit(0))) {
+    if (received->fd >= 0) close(received->fd);
+    Feed(received->packet);
+  }
+  if (channel_ && channel_->ended()) Lost();
+}
+
+void Legs::Feed(const Packet& packet) {
+  if (const auto* ended = std::get_if<LegEnded>(&packet)) return End(ended->id, ended->end);
+  if (const auto* call = std::get_if<Operate>(&packet)) {
+    if (channel_) channel_->Send(handover::Operated{operate_(call->word, call->argument)});
+  }
+}
+
+void Legs::End(const std::string& id, const relay::LegEnd& end) {
+  const auto it = elsewhere_.find(id);
+  if (it == elsewhere_.end()) return;
+  const std::string host = it->second;
+  elsewhere_.erase(it);
+  if (end.told_wait > relay::Time(0)) told_wait_(host, end.told_wait);
+  relay_->LegEnded(relay_->LegOf(id), end);
+}
+
+// The old process has ended without a word of these: they may have run.
+void Legs::Lost() {
+  io_.stop();
+  channel_.reset();
+  while (!elsewhere_.empty()) {
+    End(std::string(elsewhere_.begin()->first), {wheathub::Outcome::kReset, false, relay::Time(0)});
+  }
+}
+
+// Its next leg may begin as soon as this returns, and no two may be out at once: the old process's word that
+// it is cut is waited for. If none comes, that process is as good as dead, and so are its connections.
+void Legs::Cut(const relay::LegId& leg) {
+  const auto it = elsewhere_.find(leg.id);
+  if (it == elsewhere_.end()) return own_.Cut(leg);
+  elsewhere_.erase(it);
+  if (!channel_ || !channel_->Send(handover::Cut{leg.id})) return;
+  const net::Time until = net::Loop::Now() + kCutWithin;
+  while (!channel_->ended() && net::Loop::Now() < until) {
+    auto received = channel_->Receive(Limit(10));
+    if (!received) continue;
+    const auto* cut = std::get_if<IsCut>(&received->packet);
+    if (cut != nullptr && cut->id == leg.id) return;
+    kept_.push_back(std::move(received->packet));
+    next_.After(net::Time(0));
+  }
+}
+
+}  // namespace oxbowspread::handover
--- /dev/null
+++ b/src/handover/new_process.hpp
@@ -0,0 +1,81 @@
+// The process that takes over: it asks for all that the old one has, and from then on ends the old one's legs
+// like its own.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "handover/channel.hpp"
+#include "handover/taker.hpp"
+#include "journal/folder_lock.hpp"
+#include "net/loop.hpp"
+#include "relay/ports.hpp"
+#include "relay/relay.hpp"
+
+namespace oxbowspread::handover {
+
+// What a start finds: the folder is free, or a process gives over.
+struct Start {
+  std::unique_ptr<journal::FolderLock> lock;
+  std::optional<Channel> channel;  // nothing: the folder was free, and the rest is empty
+  relay::Estate estate;
+  std::vector<acquirer::Passed> clients;
+
+  std::set<std::string> StillOut() const;
+};
+
+// The other process answers, and won't give over to this one.
+class Refused : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Takes the folder when it is free, or all of it from the process that has it, within the limit. Throws
+// journal::FolderLocked when neither could be, Refused, std::system_error.
+Start Take(const std::string& folder, Limit limit);
+
+// The issuer side as the new process's core sees it: legs of its own, and those that go on in the old
+// process.
+class Legs final : public relay::IssuerSide {
+ public:
+  using Operated = std::function<std::string(const std::string& word, const std::string& argument)>;
+  using ToldWait = std::function<void(const std::string& host, relay::Time wait)>;
+
+  // `operate` answers calls of operators who came to the old process's door: empty is done.
+  Legs(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate);
+  void Attach(relay::Relay& relay) { relay_ = &relay; }
+  // Before Relay::Recover, which is told of the same legs.
+  void TakeOver(Channel channel, const std::vector<relay::LegOut>& out);
+  // Some still go on there.
+  bool waiting() const { return !elsewhere_.empty(); }
+
+  void Adopt(const relay::RoutingChange& change) override { own_.Adopt(change); }
+  void Begin(relay::LegOrder order) override { own_.Begin(std::move(order)); }
+  void Cut(const relay::LegId& leg) override;
+  void CloseIdle(const std::string& host) override { own_.CloseIdle(host); }
+
+ private:
+  static constexpr Limit kCutWithin{150};
+
+  void OnIo(ev::io&, int);
+  void Feed(const Packet& packet);
+  void End(const std::string& id, const relay::LegEnd& end);
+  void Lost();
+
+  relay::IssuerSide& own_;
+  ToldWait told_wait_;
+  Operated operate_;
+  relay::Relay* relay_ = nullptr;
+  std::optional<Channel> channel_;
+  std::map<std::string, std::string> elsewhere_;  // ids of authorisations, and the host of each leg
+  std::vector<Packet> kept_;                      // came while another was waited for
+  ev::io io_;
+  net::Timer next_;
+};
+
+}  // namespace oxbowspread::handover
--- a/src/issuer/hosts.cpp
+++ b/src/issuer/hosts.cpp
@@ -94,6 +94,21 @@
   it->second.wait_until = std::max(it->second.wait_until, now + wait);
 }
 
+void Hosts::TakeWait(const relay::HostWait& wait) {
+  const auto it = hosts_.find(wait.host);
+  if (it == hosts_.end()) return;
+  it->second.told_at = wait.told_at;
+  it->second.wait_until = std::max(it->second.wait_until, wait.until);
+}
+
+std::vector<relay::HostWait> Hosts::Waits(net::Time now) const {
+  std::vector<relay::HostWait> all;
+  for (const auto& [id, host] : hosts_) {
+    if (host.wait_until > now) all.push_back({id, host.told_at, host.wait_until});
+  }
+  return all;
+}
+
 bool Hosts::MayWrite(const Host& host, net::Time write_before, net::Time now) {
   if (!host.known) return false;
   if (!host.ready && now > host.unready_since + kDrainSlack) return false;
--- a/src/issuer/hosts.hpp
+++ b/src/issuer/hosts.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/connection.hpp"
+#include "relay/estate.hpp"
 #include "relay/ports.hpp"
 
 namespace oxbowspread::issuer {
@@ -33,6 +34,9 @@
   const Host* Find(const std::string& id) const;
   // It told a wait at `now`; the longest one counts. Passed over for a host that isn't known.
   void ToldWait(const std::string& id, net::Time wait, net::Time now);
+  // As another process had it.
+  void TakeWait(const relay::HostWait& wait);
+  std::vector<relay::HostWait> Waits(net::Time now) const;
   // Whether a call may be written to it: never to one that has lost its address, none to one that drains or
   // told a wait but what was on its way then, and nothing at `write_before` or later.
   static bool MayWrite(const Host& host, net::Time write_before, net::Time now);
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -46,6 +46,16 @@
   for (Line* const line : idle) Remove(*line);
 }
 
+std::vector<relay::HostWait> Issuer::Waits() const { return hosts_.Waits(net::Loop::Now()); }
+
+void Issuer::TakeWaits(const std::vector<relay::HostWait>& waits) {
+  for (const relay::HostWait& wait : waits) hosts_.TakeWait(wait);
+}
+
+void Issuer::CloseAllIdle() {
+  while (!idle_.empty()) Remove(*idle_.begin()->second);
+}
+
 // ---- calls ----
 
 void Issuer::Fail(const relay::LegOrder& order, Outcome outcome) {
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -30,6 +30,13 @@
 
   void SetLimits(const Limits& limits) { limits_ = limits; }
 
+  // What hosts told this process, for the next one, and what they told the last one.
+  std::vector<relay::HostWait> Waits() const;
+  void TakeWaits(const std::vector<relay::HostWait>& waits);
+  void ToldWait(const std::string& host, net::Time wait) { hosts_.ToldWait(host, wait, net::Loop::Now()); }
+  // No line rests here any more; those with calls go on.
+  void CloseAllIdle();
+
   void Adopt(const relay::RoutingChange& change) override;
   void Begin(relay::LegOrder order) override;
   void Cut(const relay::LegId& leg) override;
--- a/src/journal/folder_lock.cpp
+++ b/src/journal/folder_lock.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <system_error>
+#include <utility>
 
 namespace oxbowspread::journal {
 
@@ -26,8 +27,10 @@
   throw FolderLocked("state: " + folder + " is held by " + who);
 }
 
-FolderLock::~FolderLock() {
-  if (fd_ >= 0) close(fd_);
+FolderLock::~FolderLock() { Release(); }
+
+void FolderLock::Release() {
+  if (fd_ >= 0) close(std::exchange(fd_, -1));
 }
 
 // A line of it (proc(5)): "1: FLOCK  ADVISORY  WRITE 708 08:02:131090 0 EOF", device in hex, inode in
--- a/src/journal/folder_lock.hpp
+++ b/src/journal/folder_lock.hpp
@@ -21,10 +21,17 @@
  public:
   // Throws FolderLocked, or std::system_error if there is no such folder.
   explicit FolderLock(const std::string& folder);
+  // Takes over a lock that another process has taken and passed on as a descriptor.
+  explicit FolderLock(int fd) : fd_(fd) {}
   ~FolderLock();
   FolderLock(const FolderLock&) = delete;
   FolderLock& operator=(const FolderLock&) = delete;
 
+  // To be passed on: it stays locked while any process has it open.
+  int fd() const { return fd_; }
+  // This process holds it no more.
+  void Release();
+
   // The process that holds the folder, read from /proc/locks; nothing if nobody does or it isn't told.
   static std::optional<pid_t> HolderOf(const std::string& folder);
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -147,19 +147,23 @@
 
 }  // namespace
 
-Journal::Journal(const std::string& folder, std::size_t budget)
+Journal::Journal(const std::string& folder, std::size_t budget, const std::set<std::string>& still_out)
     : path_(folder + "/journal"), next_path_(folder + "/journal.next"), budget_(budget) {
   unlink(next_path_.c_str());  // a rewrite that the last process did not finish
   fd_ = open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (fd_ < 0) Throw("can't open " + path_);
-  Recover();
+  Recover(still_out);
 }
 
 Journal::~Journal() {
   if (fd_ >= 0) close(fd_);
 }
 
-void Journal::Recover() {
+void Journal::Release() {
+  if (fd_ >= 0) close(std::exchange(fd_, -1));
+}
+
+void Journal::Recover(const std::set<std::string>& still_out) {
   std::string bytes;
   char chunk[65536];
   while (true) {
@@ -183,7 +187,7 @@
   if (cut_bytes_ > 0 && ftruncate(fd_, static_cast<off_t>(at)) != 0) Throw("can't cut " + path_);
   file_bytes_ = at;
   for (auto& [id, e] : entries_) {
-    if (e.open) e.EndLeg(true);
+    if (e.open && still_out.count(id) == 0) e.EndLeg(true);
   }
   Compact();
 }
@@ -267,6 +271,7 @@
 }
 
 bool Journal::Append(const std::string& payload) {
+  if (fd_ < 0) return false;  // released
   const std::size_t after = file_bytes_ + kFrame + payload.size();
   if (static_cast<double>(after) > kFileShare * static_cast<double>(budget_)) Compact();
   if (WriteFrame(fd_, payload, &file_bytes_)) return true;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -18,8 +18,9 @@
 class Journal {
  public:
   // Reads what is in the folder, cuts a torn tail and takes a leg that was out as one that may have run.
+  // Legs of the authorisations in `still_out` go on in another process, and stay open.
   // `budget` is what all files may hold. Throws std::system_error if the folder can't be used at all.
-  Journal(const std::string& folder, std::size_t budget);
+  Journal(const std::string& folder, std::size_t budget, const std::set<std::string>& still_out = {});
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -40,6 +41,9 @@
   bool End(const std::string& id, const Ending& ending);
   bool Close(const std::string& id);  // delivered, withdrawn, or its notice taken: nothing is owed
 
+  // The files are another process's from now on: nothing more is read or written here.
+  void Release();
+
   // Hosts that operators have taken out, by id; on record when true is returned. kMostOut at a time.
   static constexpr std::size_t kMostOut = 64;
   const std::set<std::string>& out() const { return out_; }
@@ -47,7 +51,7 @@
   bool PutBack(const std::string& host);
 
  private:
-  void Recover();
+  void Recover(const std::set<std::string>& still_out);
   bool Apply(std::string_view payload);
   bool Append(const std::string& payload);
   bool WriteFrame(int fd, const std::string& payload, std::size_t* written);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -150,6 +150,13 @@
   Watch();
 }
 
+Connection::Rest Connection::rest() const { return {fd_, in_.Text(), out_.Text()}; }
+
+void Connection::TakeUp(std::string_view in, std::string_view out) {
+  in_.Append(in);
+  Send(out);
+}
+
 void Connection::Resume() {
   if (fd_ >= 0 && !in_.empty()) user_.OnBytes(in_);
   Watch();
@@ -231,6 +238,26 @@
   Start();
 }
 
+void Listener::Check(int fd) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  const bool socket = getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0;
+  if (!socket || listens == 0) {
+    throw std::system_error(socket ? EINVAL : errno, std::generic_category(), "no listening socket");
+  }
+}
+
+Listener::Listener(Loop& loop, int fd, Accepted accepted)
+    : fd_(-1), spare_(-1), accepted_(std::move(accepted)), io_(loop.ref()) {
+  Check(fd);
+  // A descriptor of its own: the one that was handed in stays for whoever comes next.
+  fd_ = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "listen");
+  fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) | O_NONBLOCK);
+  spare_ = open("/dev/null", O_RDONLY | O_CLOEXEC);
+  Start();
+}
+
 void Listener::Start() {
   io_.set<Listener, &Listener::OnIo>(this);
   Resume();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -53,6 +53,15 @@
   // Whether the other side has ended it, though the loop has not told so yet.
   bool Ended() const;
   void Close();
+  // What another process needs to go on with it: its descriptor, which stays this one's until Close, what
+  // came and was not consumed, and what is still to be written.
+  struct Rest {
+    int fd = -1;
+    std::string in, out;
+  };
+  Rest rest() const;
+  // As another process left it; `in` is offered by Resume.
+  void TakeUp(std::string_view in, std::string_view out);
   // Offers again what the user left unread.
   void Resume();
   // Served before other sockets that are ready in the same round of the loop.
@@ -85,6 +94,11 @@
   // At a Unix-domain socket that only this user may open. A file that a dead process left there is replaced;
   // where somebody still answers, or where no socket stands, it throws and changes nothing.
   Listener(Loop& loop, const std::string& path, Accepted accepted);
+  // At a socket that somebody else has bound and listens at, and keeps. Throws std::system_error if it is no
+  // such socket.
+  Listener(Loop& loop, int fd, Accepted accepted);
+  // The same check, without listening.
+  static void Check(int fd);
   ~Listener() { Close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
--- a/src/notice/notice.cpp
+++ b/src/notice/notice.cpp
@@ -50,6 +50,14 @@
   next_.After(net::Time(0));
 }
 
+void Poster::Stop() {
+  Drop();
+  silence_.Stop();
+  next_.Stop();
+  owed_.clear();
+  out_.clear();
+}
+
 void Poster::Next() {
   if (owed_.empty() || !out_.empty()) return;
   for (const auto& [id, line] : owed_) {
--- a/src/notice/notice.hpp
+++ b/src/notice/notice.hpp
@@ -23,6 +23,8 @@
 
   // The platform is somewhere else now: what is owed, or out unanswered, is told there, at once.
   void MoveTo(const net::Address& address, std::string host);
+  // Nothing is told any more.
+  void Stop();
   void Post(const std::string& id, const journal::Ending& ending) override;
 
  private:
--- a/src/proto/resp.cpp
+++ b/src/proto/resp.cpp
@@ -71,6 +71,22 @@
   error_ = why;
 }
 
+std::string RespParser::Unfinished() const {
+  std::string bytes;
+  if (state_ != State::kMore) return bytes;
+  if (step_ == Step::kArray) return line_;
+  bytes = "*" + std::to_string(arguments_) + "\r\n";
+  for (std::size_t i = 0; i < command_.size(); ++i) {
+    const bool last = i + 1 == command_.size() && step_ != Step::kLength;
+    if (!last) {
+      bytes += RespBulk(command_[i]);
+    } else {
+      bytes += "$" + std::to_string(length_) + "\r\n" + command_[i];
+    }
+  }
+  return bytes + line_;
+}
+
 std::vector<std::string> RespParser::Take() {
   state_ = State::kMore;
   return std::exchange(command_, {});
--- a/src/proto/resp.hpp
+++ b/src/proto/resp.hpp
@@ -21,6 +21,8 @@
   State state() const { return state_; }
   bool idle() const { return state_ == State::kMore && step_ == Step::kArray && line_.empty(); }
   const char* error() const { return error_; }
+  // The bytes of a command that is not whole yet: fed to another parser they bring it to the same point.
+  std::string Unfinished() const;
   // The command, once whole; the next one may be fed then.
   std::vector<std::string> Take();
 
--- a/src/proto/ring_buffer.cpp
+++ b/src/proto/ring_buffer.cpp
@@ -18,6 +18,13 @@
   if (size_ == 0 && bytes_.size() > kFirst) std::vector<char>().swap(bytes_);
 }
 
+std::string RingBuffer::Text() const {
+  const std::string_view first = Front();
+  std::string all(first);
+  all.append(bytes_.data(), size_ - first.size());
+  return all;
+}
+
 std::span<char> RingBuffer::Space() {
   if (full()) return {};
   if (size_ == bytes_.size()) Grow(size_ + 1);
--- a/src/proto/ring_buffer.hpp
+++ b/src/proto/ring_buffer.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +20,7 @@
   // The longest run of bytes at the front, to be consumed in part or whole.
   std::string_view Front() const;
   void Consume(std::size_t count);
+  std::string Text() const;  // all of it, not consumed
 
   // Room for new bytes at the back, in one run; empty when the limit is reached. Commit what was filled.
   std::span<char> Space();
--- /dev/null
+++ b/src/relay/estate.hpp
@@ -0,0 +1,32 @@
+// What one process of a relay gives over to the next, beside the lasting folder. Moments are monotonic, of
+// the machine that both run on.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "relay/ports.hpp"
+#include "wheathub/decide.hpp"
+
+namespace oxbowspread::relay {
+
+// A leg that goes on in the process that gives over.
+struct LegOut {
+  std::string id;  // of its authorisation, which has one at most
+  std::string host;
+  Time begun{0};
+};
+
+struct HostWait {
+  std::string host;
+  Time told_at{0}, until{0};
+};
+
+struct Estate {
+  RoutingChange table;  // as discovery listed it, with its revision
+  std::vector<wheathub::Belief> beliefs;
+  std::vector<LegOut> out;
+  std::vector<HostWait> waits;
+};
+
+}  // namespace oxbowspread::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -77,8 +77,27 @@
   if (next != Time::max()) sides_.clock.WakeAt(std::max(next, last_turn_ + settings_.tick));
 }
 
-void Relay::Recover(const RoutingChange& known) {
-  RoutingChanged(known);
+void Relay::Recover(const RoutingChange& known, const Estate* taken) {
+  std::map<std::string, Time> out;  // since when
+  if (taken == nullptr) {
+    RoutingChanged(known);
+  } else {
+    RoutingChange table = taken->table;
+    for (const LegOut& leg : taken->out) {
+      out[leg.id] = leg.begun;
+      const journal::Entry* entry = journal_.Find(leg.id);
+      const bool listed = std::any_of(table.hosts.begin(), table.hosts.end(),
+                                      [&](const Host& h) { return h.info.id == leg.host; });
+      if (entry == nullptr || !entry->open || listed) continue;
+      // The module must know the host of every leg, also one that has left the list.
+      Host gone;
+      gone.info = {leg.host, entry->authorisation.destination, 0, entry->open->zone,
+                   1,        wheathub::Lifecycle::kRemoved};
+      table.hosts.push_back(gone);
+    }
+    RoutingChanged(table);
+    for (const wheathub::Belief& belief : taken->beliefs) Queue(belief);
+  }
   for (const auto& [id, entry] : journal_.entries()) {
     if (entry.ending) {
       counters_.recovered_notices += 1;
@@ -86,7 +105,14 @@
       continue;
     }
     counters_.recovered += 1;
-    const wheathub::Message message = MessageOf(entry);
+    wheathub::Message message = MessageOf(entry);
+    if (const auto it = out.find(id); it != out.end() && entry.open) {
+      message.history.out = true;
+      message.history.since_sent = sides_.clock.Now() - it->second;
+      // Its time is up, and it can't be said that it never ran.
+      if (message.expires_in <= Time(0)) message.history.may_have_run = true;
+      out_[{id, entry.legs - 1}] = {entry.open->host, it->second, true};
+    }
     held_[id] = {sides_.clock.Now() + message.expires_in, entry.legs, message.message_class};
     Queue(message);
   }
@@ -206,6 +232,42 @@
 
 // ---- turns ----
 
+Estate Relay::Freeze() {
+  if (!fresh_.empty()) Step(sides_.clock.Now());
+  Estate all;
+  all.table = table_.Listed();
+  all.beliefs = decider_.beliefs();
+  std::vector<LegId> unwritten;
+  for (const auto& [leg, out] : out_) {
+    if (out.written) all.out.push_back({leg.id, out.host, out.begun});
+    if (!out.written) unwritten.push_back(leg);
+  }
+  for (const LegId& leg : unwritten) {
+    sides_.issuer.Cut(leg);
+    LegEnded(leg, {Outcome::kNotSent, false, Time(0)});
+  }
+  return all;
+}
+
+void Relay::Given(Told told) {
+  settled_ = true;
+  told_ = std::move(told);
+  journal_.Release();
+  events_.clear();
+  held_.clear();
+}
+
+LegId Relay::LegOf(const std::string& id) const {
+  const auto it = out_.lower_bound({id, 0});
+  return it == out_.end() || it->first.id != id ? LegId{id, -1} : it->first;
+}
+
+void Relay::CutGiven(const std::string& id) {
+  const LegId leg = LegOf(id);
+  if (!given() || out_.erase(leg) == 0) return;
+  sides_.issuer.Cut(leg);
+}
+
 void Relay::Turn() {
   if (settled_) return;
   const Time now = sides_.clock.Now();
@@ -215,6 +277,11 @@
     timers_.erase(timers_.begin());
   }
   if (events_.empty()) return Wake();
+  Step(now);
+  Wake();
+}
+
+void Relay::Step(Time now) {
   counters_.turns += 1;
   if (first_event_ > Time(0)) {
     const auto late = static_cast<std::uint64_t>((now - first_event_).count());
@@ -228,7 +295,6 @@
   for (const auto& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
   const auto took = static_cast<std::uint64_t>((sides_.clock.Now() - now).count());
   counters_.longest_turn_us = std::max(counters_.longest_turn_us, took);
-  Wake();
 }
 
 void Relay::Do(const wheathub::SetTimer& timer) { timers_.emplace(timer.at, timer.token); }
@@ -281,7 +347,7 @@
 
 bool Relay::LegWriting(const LegId& leg, const std::string& host, int zone) {
   const auto it = out_.find(leg);
-  if (it == out_.end()) return false;
+  if (it == out_.end() || given()) return false;
   it->second.written = journal_.BeginLeg(leg.id, {host, zone, sides_.clock.UnixNow()});
   return it->second.written;
 }
@@ -322,6 +388,7 @@
   const Out out = it->second;
   out_.erase(it);
   Count(end);
+  if (given()) return told_(leg.id, end);
   const bool over = end.over || end.outcome == Outcome::kServed;
   if (over && journal_.Find(leg.id) != nullptr) {
     if (end.outcome == Outcome::kServed) counters_.delivered += 1;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "journal/journal.hpp"
 #include "relay/classes.hpp"
 #include "relay/counters.hpp"
+#include "relay/estate.hpp"
 #include "relay/ports.hpp"
 #include "relay/table.hpp"
 #include "wheathub/decide.hpp"
@@ -32,8 +34,20 @@
   Relay(wheathub::Settings settings, std::uint64_t seed, journal::Journal& journal, const Sides& sides,
         Counters& counters);
 
-  // First of all: the list as last had, then what the journal still owes.
-  void Recover(const RoutingChange& known);
+  // First of all: the list as last had, then what the journal still owes. With what another process gave
+  // over, `known` is passed by for its table, and the legs that are out there end by LegEnded like others.
+  void Recover(const RoutingChange& known, const Estate* taken = nullptr);
+
+  // To give over to another process. Everybody who waits is answered, legs not yet written are taken back,
+  // and what is left is told; Turn and all else go on as before until Given.
+  Estate Freeze();
+  // From now on all is the other process's but the legs that are out, whose ends `told` hears; the journal is
+  // released.
+  using Told = std::function<void(const std::string& id, const LegEnd& end)>;
+  void Given(Told told);
+  bool given() const { return told_ != nullptr; }
+  // Once given: the other process wants that leg ended here. No end is told for it.
+  void CutGiven(const std::string& id);
 
   // From the acquirer side. Answered through `from`, later or at once.
   void Submit(journal::Authorisation authorisation, Acquirer& from);
@@ -49,6 +63,9 @@
   bool LegWriting(const LegId& leg, const std::string& host, int zone);
   void LegEnded(const LegId& leg, const LegEnd& end);
 
+  // The leg of that authorisation that is out; number -1 if none is.
+  LegId LegOf(const std::string& id) const;
+
   // From discovery and the platform.
   void RoutingChanged(const RoutingChange& change);
   void RoutingFailed();
@@ -90,6 +107,7 @@
     Time ends_at{0};
   };
 
+  void Step(Time now);
   void Tell(const RoutingChange& change);
   int ClassOf(const journal::Authorisation& authorisation);
   void Wake();
@@ -134,6 +152,7 @@
   std::map<std::string, Held> held_;
   std::map<LegId, Out> out_;
   bool settled_ = false;
+  Told told_;  // set once all is given over
 };
 
 }  // namespace oxbowspread::relay
--- a/src/relay/table.cpp
+++ b/src/relay/table.cpp
@@ -31,9 +31,9 @@
   return Change(id);
 }
 
-RoutingChange Table::Whole() const {
-  RoutingChange all{wheathub::ListScope::kAll, revision_, {}};
-  for (const auto& [id, host] : hosts_) all.hosts.push_back(Laid(host));
+RoutingChange Table::Listed() const {
+  RoutingChange all{wheathub::ListScope::kRemembered, revision_, {}};
+  for (const auto& [id, host] : hosts_) all.hosts.push_back(host);
   return all;
 }
 
--- a/src/relay/table.hpp
+++ b/src/relay/table.hpp
@@ -22,8 +22,8 @@
   RoutingChange TakeOut(const std::string& id);
   RoutingChange PutBack(const std::string& id);
 
-  // All of it as it counts here, with the last revision.
-  RoutingChange Whole() const;
+  // All of it as discovery listed it, with the last revision.
+  RoutingChange Listed() const;
 
  private:
   Host Laid(Host host) const;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -30,6 +30,19 @@
   Begin();
 }
 
+void Discovery::WatchAhead() {
+  ahead_ = true;
+  Begin();
+}
+
+void Discovery::Stop() {
+  failed_.Stop();
+  for (auto* call : {&watch_, &fetch_}) {
+    if (*call != nullptr) (*call)->Close();
+    loop_.Dispose(std::move(*call));
+  }
+}
+
 void Discovery::Begin() {
   counters_.watches += 1;
   Start(watch_, true, "/discovery/hosts?watch=1&from=" + std::to_string(revision_));
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -27,6 +27,10 @@
 
   void Watch() override;
   void Fetch() override;
+  // A watch before the module asks for one, which then is that one.
+  void WatchAhead();
+  // Nothing is asked for any more.
+  void Stop();
 
  private:
   // One call: its connection, its answer, and how long it may stay silent.
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -308,6 +308,11 @@
   }
   dup2(ends[1], 1);
   dup2(ends[1], 2);
+  if (held != nullptr) {
+    dup2(held->fd(), 5);
+    fcntl(5, F_SETFD, 0);
+    setenv("ROUTER_LISTEN_FD", "5", 1);
+  }
   if (in_child) in_child();
   setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
   setenv("ROUTER_STATE", state_.c_str(), 1);
@@ -332,6 +337,10 @@
   REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
 }
 
+void RelayProcess::UntilLog(const std::string& text) {
+  world_.Until([&] { return log().find(text) != std::string::npos; });
+}
+
 void RelayProcess::Signal(int number) const { kill(pid_, number); }
 
 void RelayProcess::Reload(const std::string& text) const {
@@ -363,12 +372,17 @@
 // ---- clients ----
 
 void Client::Put(const std::string& id, const std::string& body, int ms, const std::string& values) const {
+  socket_.Send(PutText(id, body, ms, values));
+}
+
+std::string Client::PutText(const std::string& id, const std::string& body, int ms,
+                            const std::string& values) {
   const std::string list = "c=outbound,d=" + std::to_string(ms) + values;
   std::string command = "*5\r\n";
   for (const std::string& part : {std::string("MSG.PUT"), std::string("0000000000000000"), id, list, body}) {
     command += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
   }
-  socket_.Send(command);
+  return command;
 }
 
 std::string Client::Line() {
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -131,15 +131,18 @@
   void Reload(const std::string& text) const;  // replaces the configuration file, then SIGHUP
   int WaitForEnd();                            // its exit code, or minus the signal
   std::string RunToEnd(int* code);             // one that can't start: what it wrote to standard error
-  int port() const { return port_; }
+  // The clients' listening socket, held by the test and inherited as descriptor 5; null: it listens itself.
+  const Socket* held = nullptr;
+  int port() const { return held != nullptr ? held->port() : port_; }
+  void Spawn();  // without waiting for anything
+  void UntilLog(const std::string& text);
+  void Use(const std::string& state) { state_ = state; }  // another one's folder
   const std::string& state() const { return state_; }
   const std::string& folder() const { return folder_; }
   pid_t pid() const { return pid_; }
   const std::string& log();  // what it has written so far
 
  private:
-  void Spawn();
-
   World& world_;
   std::string folder_, state_, log_;
   Socket reserved_;  // keeps the port from others while no relay listens
@@ -151,6 +154,9 @@
 class Client {
  public:
   explicit Client(const RelayProcess& relay) : socket_(Socket::Connect(relay.port())) {}
+  // The bytes of MSG.PUT.
+  static std::string PutText(const std::string& id, const std::string& body, int ms,
+                             const std::string& values);
   // Sends MSG.PUT; `values` is added to class, time and destination.
   void Put(const std::string& id, const std::string& body = "hello", int ms = 8000,
            const std::string& values = ",k=key1,dest=7") const;
