--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -85,6 +85,7 @@
   std::vector<MessageClass> classes;
   std::vector<Tenant> tenants;
   std::vector<DestinationKind> kinds;
+  double refused_price = 0;      // of a call refused above a limit for each message; 0: not told
   std::vector<double> zone_fee;  // of a message taken on in that zone by a route apart
   Decay decay = Decay::kEven;
   WeightMeaning weights = WeightMeaning::kNone;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,10 +31,13 @@
 constexpr double kGapShrink = 0.12;  // share of the gap that a served call takes off
 // Turns: this sender's part of a told limit, call by call. Drawn, and an unused one lapses: what all senders
 // send at once stays within the limit however many they are.
-constexpr double kTurnFew = 10;       // times bolder over the number of senders: few soon learn a limit
-constexpr double kTurnKeptS = 0.4;    // a turn lapses after so long: the burst that all make together
-constexpr double kTurnShrink = 0.08;  // share that a call served while messages wait takes off
-constexpr double kTurnWiden = 1.7;    // times longer after a refusal as full
+constexpr double kTurnFew = 10;     // times bolder over the number of senders: few soon learn a limit
+constexpr double kTurnKeptS = 0.4;  // a turn lapses after so long: the burst that all make together
+// Refusals cheaper than this make turns bolder, by the square of how much cheaper: waiting costs worth too.
+constexpr double kTurnDear = 0.1, kTurnBoldest = 12, kTurnMore = 0.1;
+constexpr double kTurnFewest = 3;                  // so few senders soon learn a limit, and need not be bold
+constexpr double kTurnShrink = 0.08;               // share that a call served while messages wait takes off
+constexpr double kTurnWiden = 1.7;                 // times longer after a refusal as full
 constexpr double kTurnLeast = 0.3, kTurnMost = 4;  // times the first
 // Health.
 constexpr double kChance = 0.02;         // failures in a row less likely than this by chance are an outage
@@ -103,6 +106,7 @@
 
 struct Route : RouteBelief {
   int endpoints = 0, calls = 0;  // listed, out
+  double bold = 1;
 
   Route() { tokens = kTokenCap; }
 
@@ -123,7 +127,7 @@
   }
   // The next turn, or the last if it may still be taken.
   Time TurnAt(Time now) const {
-    const Time late = now - Micros(kTurnKeptS) - next_turn;
+    const Time late = now - Micros(bold * kTurnKeptS) - next_turn;
     return late <= 0us || turn <= 0us ? next_turn : next_turn + turn * (late / turn + 1);
   }
   Time FreeAt(Time now) const { return std::max({wait_until, next_send, TurnAt(now)}); }
@@ -501,8 +505,12 @@
   void SetTurns(const Endpoint& e) {
     Route& r = *e.route;
     if (r.told_limit <= 0) return;
-    const Time told = Micros(1 / ((1 + kTurnFew / s_.senders) * PartOf(e)));
-    if (r.told_turn == 0us) r.next_turn = now_ + Micros(Seconds(told) * Uniform(0, 1)) - Micros(kTurnKeptS);
+    const double cheap = s_.refused_price > 0 ? kTurnDear / s_.refused_price : 1;
+    r.bold = std::clamp(cheap * cheap * (1 - kTurnFewest / s_.senders), 1.0, kTurnBoldest);
+    const Time told =
+        Micros(1 / ((1 + std::max(kTurnFew / s_.senders, kTurnMore * (r.bold - 1))) * PartOf(e)));
+    if (r.told_turn == 0us)
+      r.next_turn = now_ + Micros(Seconds(told) * Uniform(0, 1)) - Micros(r.bold * kTurnKeptS);
     if (r.told_turn != told) r.turn = r.told_turn = told;
   }
   // Only senders that saw an outage hold messages; where calls are rare they are few, and each may send more.
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -275,6 +275,7 @@
 void ReadFamily(const Json& info, std::size_t kinds, Settings* s) {
   s->slots = info.value("calls-out", 0);
   s->decay = info.value("decay", "even") == "by_half" ? Decay::kByHalf : Decay::kEven;
+  s->refused_price = std::max(0.0, info.value("refused-price", 0.0));
   s->zone_fee = info.value("carriage", std::vector<double>());
   const auto apart = info.value("kind-apart", std::vector<bool>());
   const auto bundle = info.value("bundle-max", std::vector<int>());
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -790,6 +790,32 @@
   EXPECT_EQ(rig.decider.held().keys, 0u);
 }
 
+// One of many has a turn seldom; where a refusal costs little, waiting for it costs more.
+TEST(Turns, AreBolderWhereRefusalsAreCheapAndSendersMany) {
+  const auto sent_in_a_second = [](double price, int senders) {
+    int sent = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      Settings s = BasicSettings();
+      s.weights = WeightMeaning::kRough;
+      s.senders = senders;
+      s.refused_price = price;
+      Rig rig(s, seed);
+      EndpointInfo a = At("a", 7);
+      a.weight = 8;
+      rig.List({a});
+      rig.Pass(10s);
+      rig.Do({rig.New("m", 0)});
+      rig.Pass(1s);
+      sent += rig.Sends("m");
+    }
+    return sent;
+  };
+  const int dear = sent_in_a_second(0.1, 48);
+  EXPECT_GT(sent_in_a_second(0.03, 48), 2 * dear);
+  EXPECT_EQ(sent_in_a_second(0, 48), dear) << "no price told";
+  EXPECT_EQ(sent_in_a_second(0.03, 3), sent_in_a_second(0.1, 3)) << "few learn a limit soon";
+}
+
 // ---- list ----
 
 TEST(List, NothingNewGoesToADrainingOrRemovedEndpoint) {
