Serve clients that take 2 s to write a message, beside a crowd that stops half way

Need: some honest clients write one message in 2 s while thousands connect and idle or stop half way. Seen: a connection that had not asked 300 ms after the connect was the first to give way however its command came on, and 2 s from the connect ended it (Client::claim, kCommandWithin). Change: 2.7 s for a whole command (bad clients are still closed within 3 s); bytes less than 0.7 s old keep a connection's rank. Calls taken over from another process are overdue as early as they would have been there.

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -14,11 +14,13 @@
 using namespace std::chrono_literals;
 
 // Of a connection's first command from the connect, of any other from its first byte: whoever sends nothing,
-// or never all of it, holds a descriptor that others need. The platform lets 3 s pass.
-constexpr net::Time kCommandWithin = 2s;
+// or never all of it, holds a descriptor that others need. The platform lets 3 s pass; some write for 2 s.
+constexpr net::Time kCommandWithin = 2700ms;
 constexpr net::Time kIdle = 10s;  // a client that has asked and kept its connection
-// A client asks right after it has connected: one that hasn't by then is the first to give way.
+// A client asks right after it has connected: one that hasn't begun by then, or whose command has not come on
+// for so long, is the first to give way.
 constexpr net::Time kAsksWithin = 300ms;
+constexpr net::Time kComesOnWithin = 700ms;
 // A command is taken out of the ring as it comes: hundreds of clients share the memory limit.
 constexpr std::size_t kRing = 32 * 1024;
 
@@ -39,6 +41,7 @@
 }
 
 void Client::OnBytes(proto::RingBuffer& in) {
+  came_at_ = net::Loop::Now();
   while (!waiting_ && !in.empty() && connection_.connected()) {
     in.Consume(parser_.Feed(in.Front()));
     if (parser_.state() == proto::RespParser::State::kBad) {
@@ -129,7 +132,8 @@
 }
 
 Client::Claim Client::claim(net::Time now) const {
-  if (!asked_ && now - quiet_since_ > kAsksWithin) return Claim::kNone;
+  const bool comes = came_at_ > net::Time(0) && now - came_at_ <= kComesOnWithin;
+  if (!asked_ && !comes && now - quiet_since_ > kAsksWithin) return Claim::kNone;
   if (idle()) return asked_ ? Claim::kIdle : Claim::kNew;
   return Claim::kServed;
 }
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -63,6 +63,7 @@
   bool asked_ = false;    // a whole command, at any time
   bool resting_ = false;  // the timer is that of an idle client
   net::Time quiet_since_{0};
+  net::Time came_at_{0};  // the last bytes; 0: none
 };
 
 class Acquirers {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,9 +33,9 @@
 // send at once stays within the limit however many they are.
 constexpr double kTurnFew = 10;     // times bolder over the number of senders: few soon learn a limit
 constexpr double kTurnKeptS = 0.4;  // a turn lapses after so long: the burst that all make together
-// Refusals cheaper than this make turns bolder, by the square of how much cheaper: waiting costs worth too.
-constexpr double kTurnDear = 0.1, kTurnBoldest = 12, kTurnMore = 0.1;
-constexpr double kTurnFewest = 3;                  // so few senders soon learn a limit, and need not be bold
+// Refusals cheaper than kTurnDear make turns bolder, by the square of how much cheaper: waiting costs worth
+// too. Few senders soon learn a limit, and need not be bold.
+constexpr double kTurnDear = 0.1, kTurnBoldest = 12, kTurnMore = 0.1, kTurnFewest = 3;
 constexpr double kTurnShrink = 0.08;               // share that a call served while messages wait takes off
 constexpr double kTurnWiden = 1.7;                 // times longer after a refusal as full
 constexpr double kTurnLeast = 0.3, kTurnMost = 4;  // times the first
@@ -823,7 +823,9 @@
       p.sends -= 1;
       TakeUp(last->second);
       SendTo(p, last->second, false);
-      calls_.at({p.m.id, h.sends - 1}).sent_at = now_ - h.since_sent;
+      Call& call = calls_.at({p.m.id, h.sends - 1});
+      call.sent_at = now_ - h.since_sent;
+      SetAlarm(call.alarm, std::max(now_, call.sent_at + call.allowed), &call);
       return actions_.pop_back();
     }
     RepeatOrEnd(p, last == endpoints_.end() ? unlisted : *last->second.route);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -480,6 +480,32 @@
   CHECK(late.Counters()["clients_evicted"] >= 200);
 }
 
+// Guards against a slow but honest client's being taken for one of the crowd that stops half way.
+TEST_CASE("a client that takes 2 s to write its message is served beside a crowd that stops half way") {
+  Relayed r;
+  r.relay.config["limits"]["sockets"] = 128;
+  r.relay.Start();
+  Client slow(r.relay);
+  const std::string whole = Client::PutText("slow", "hello", 8000, ",k=key1,dest=7");
+  std::vector<Client> crowd;
+  const auto begun = Clock::now();
+  for (std::size_t i = 0; i < 10; ++i) {
+    for (int k = 0; k < 40; ++k) {
+      crowd.emplace_back(r.relay);
+      if (k % 2 == 0) crowd.back().socket().Send("*5\r\n$7");
+    }
+    // Others are served meanwhile.
+    Client quick(r.relay);
+    r.world.Answer(r.Deliver(quick, "quick-" + std::to_string(i)), "200 OK");
+    slow.socket().Send(
+        whole.substr(whole.size() * i / 10, whole.size() * (i + 1) / 10 - whole.size() * i / 10));
+    if (i < 9) r.world.Until([&] { return Clock::now() - begun >= (i + 1) * 225ms; });
+  }
+  CHECK(Clock::now() - begun >= 2s);
+  CHECK(slow.Line() == "+OK");
+  CHECK(r.world.NextCall().id() == "slow");
+}
+
 // Guards against clients that can't connect: the platform opens no more than a third of the descriptors, and
 // who stays without asking counts in that.
 TEST_CASE("clients that rest give way before the room for clients is used up") {
