--- a/tests/relay/door_test.cpp
+++ b/tests/relay/door_test.cpp
@@ -5,9 +5,14 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <vector>
 
 #include "door/call.hpp"
+#include "journal/journal.hpp"
+#include "relay/table.hpp"
 #include "rig.hpp"
 
 namespace oxbowspread::testing {
@@ -60,6 +65,69 @@
   CHECK(endless.state() == CallReader::State::kBad);
 }
 
+TEST_CASE("what is out drains whatever discovery tells of it: moved, gone and back, or in a whole list") {
+  using wheathub::Lifecycle;
+  using wheathub::ListScope;
+  relay::Table table;
+  const auto host = [](const std::string& id, const std::string& address, Lifecycle state) {
+    relay::Host h;
+    h.info.id = id;
+    h.info.lifecycle = state;
+    h.address = address;
+    return h;
+  };
+  const auto told = [&](ListScope scope, const relay::Host& h) {
+    return table.Adopt({scope, 1, {h}}).hosts.at(0);
+  };
+  told(ListScope::kAll, host("a", "1", Lifecycle::kUp));
+  CHECK(table.TakeOut("a").hosts.at(0).info.lifecycle == Lifecycle::kDraining);
+  const relay::Host moved = told(ListScope::kChanges, host("a", "2", Lifecycle::kUp));
+  CHECK(moved.info.lifecycle == Lifecycle::kDraining);
+  CHECK(moved.address == "2");
+  CHECK(told(ListScope::kChanges, host("a", "2", Lifecycle::kRemoved)).info.lifecycle == Lifecycle::kRemoved);
+  CHECK_FALSE(table.Lists("a"));
+  CHECK(told(ListScope::kChanges, host("a", "3", Lifecycle::kUp)).info.lifecycle == Lifecycle::kDraining);
+  CHECK(told(ListScope::kAll, host("a", "3", Lifecycle::kUp)).info.lifecycle == Lifecycle::kDraining);
+  CHECK(table.Listed().hosts.at(0).info.lifecycle == Lifecycle::kUp);
+  const relay::RoutingChange back = table.PutBack("a");
+  CHECK(back.hosts.at(0).info.lifecycle == Lifecycle::kUp);
+  CHECK(back.hosts.at(0).address == "3");
+  CHECK(told(ListScope::kAll, host("b", "4", Lifecycle::kUp)).info.lifecycle == Lifecycle::kUp);
+  CHECK(table.TakeOut("a").hosts.empty());  // not listed any more: there is nothing to tell
+}
+
+TEST_CASE("a journal cut at any byte keeps what was taken out and put back before the cut") {
+  char name[] = "/tmp/oxbowspread-XXXXXX";
+  const std::string folder = mkdtemp(name);
+  const std::string path = folder + "/journal";
+  const auto size = [&] { return std::filesystem::file_size(path); };
+  std::vector<std::uintmax_t> ends;
+  {
+    journal::Journal j(folder, 1'000'000);
+    REQUIRE(j.TakeOut("a"));
+    ends.push_back(size());
+    REQUIRE(j.TakeOut("b"));
+    ends.push_back(size());
+    REQUIRE(j.PutBack("a"));
+    ends.push_back(size());
+  }
+  std::ostringstream all;
+  all << std::ifstream(path, std::ios::binary).rdbuf();
+  const std::vector<std::set<std::string>> out{{}, {"a"}, {"a", "b"}, {"b"}};
+  for (std::size_t cut = 0; cut <= all.str().size(); ++cut) {
+    std::ofstream(path, std::ios::binary) << all.str().substr(0, cut);
+    const auto whole = std::count_if(ends.begin(), ends.end(), [&](auto end) { return end <= cut; });
+    CHECK(journal::Journal(folder, 1'000'000).out() == out.at(static_cast<std::size_t>(whole)));
+    CHECK(journal::Journal(folder, 1'000'000).out() == out.at(static_cast<std::size_t>(whole)));  // rewritten
+  }
+  journal::Journal full(folder, 1'000'000);
+  for (std::size_t i = full.out().size(); i < journal::Journal::kMostOut; ++i) {
+    CHECK(full.TakeOut("host-" + std::to_string(i)));
+  }
+  CHECK_FALSE(full.TakeOut("one-more"));
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("the door says whether the relay serves, and answers what it doesn't know by an error") {
   Doored r;
   r.relay.Start();
