--- a/include/wheathub/beliefs.hpp
+++ b/include/wheathub/beliefs.hpp
@@ -1,6 +1,7 @@
 // What a sender has come to believe of endpoints, so that one process can give it over to the next. Plain
 // values: the figures they start from, and all that is done with them, are in src/decide.cpp. Moments are on
-// the clock of Step(), which both processes must share.
+// the clock of Step(), which both processes must share; Time counts microseconds, names in _s are seconds.
+// Nothing here throws but what strings do, or points anywhere.
 #pragma once
 
 #include <chrono>
@@ -13,14 +14,14 @@
 // What the design keeps per destination, or per endpoint where routes are apart.
 struct RouteBelief {
   using Time = std::chrono::microseconds;
-  double tokens = 0;
-  Time gap{0}, next_send{0}, wait_until{0};
+  double tokens = 0;                         // repeats that may go
+  Time gap{0}, next_send{0}, wait_until{0};  // a span, and two moments
   Time told_turn{0}, turn{0}, next_turn{0};  // between turns: by what was told (0: none), as learned
   Time widened_at = Time::min();
-  double told_limit = 0;  // calls a second for all senders; 0: not told
-  Time down_since{0}, backoff{0};
-  Time cold_until{0};       // an outage was seen here less than the warm-up ago
-  Time next_in_trouble{0};  // the next trial, or call to a cold endpoint
+  double told_limit = 0;           // calls a second for all senders; 0: not told
+  Time down_since{0}, backoff{0};  // a moment, and a span
+  Time cold_until{0};              // an outage was seen here less than the warm-up ago
+  Time next_in_trouble{0};         // the next trial, or call to a cold endpoint
 };
 
 struct EndpointBelief {
--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -85,7 +85,8 @@
   std::vector<MessageClass> classes;
   std::vector<Tenant> tenants;
   std::vector<DestinationKind> kinds;
-  double refused_price = 0;      // of a call refused above a limit for each message; 0: not told
+  // Share of the whole result lost if one call were refused above a limit for each message; 0: not told.
+  double refused_price = 0;
   std::vector<double> zone_fee;  // of a message taken on in that zone by a route apart
   Decay decay = Decay::kEven;
   WeightMeaning weights = WeightMeaning::kNone;
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -43,6 +43,9 @@
 // over.
 constexpr handover::Limit kTakeWithin = 5s;
 
+static_assert(config::Config::kDoorDescriptors == door::Door::kDescriptors,
+              "set apart as many as the door takes");
+
 // Exit codes. 1: something that can't work, by README's rule for the start.
 using apps::kBadInput;
 constexpr int kFolderLocked = 3;  // another process holds the state folder
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -132,8 +132,7 @@
   CheckSettings(*settings);
   std::vector<std::string> report_fields;
   try {
-    c.settings_text = settings->dump();
-    c.settings = wheathub::wire::ParseSettings(c.settings_text, &report_fields);
+    c.settings = wheathub::wire::ParseSettings(settings->dump(), &report_fields);
     c.zones = settings->value("zones", std::vector<std::string>());
   } catch (const std::exception& e) {
     throw Error("settings", e.what());
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -30,7 +30,6 @@
   std::size_t disk_bytes = 3'000'000;  // limits.disk_mb, which may be a fraction
   std::string known;                   // discovery's list as last had, as JSON text
   std::string text;                    // the whole file, to hold the next one against
-  std::string settings_text;           // as told, to see whether they changed
   wheathub::Settings settings;
   std::vector<std::string> zones;  // their names, in the settings' order
 
--- a/src/handover/channel.cpp
+++ b/src/handover/channel.cpp
@@ -17,7 +17,7 @@
 
 constexpr int kBuffer = 512 * 1024;          // a packet must fit
 constexpr std::size_t kPacket = 256 * 1024;  // of a client: rings and a command
-constexpr timeval kSendWithin{1, 0};
+constexpr timeval kSendWithin{0, 150'000};
 
 std::string PathIn(const std::string& folder) { return folder + "/handover"; }
 
--- a/src/handover/channel.hpp
+++ b/src/handover/channel.hpp
@@ -27,7 +27,7 @@
   Channel(Channel&& other) noexcept;
   Channel& operator=(Channel&&) = delete;
 
-  // Waits until the system takes it, one second at most; false if the other has gone or takes nothing.
+  // Waits until the system takes it, 150 ms at most; false if the other has gone or takes nothing.
   bool Send(const Packet& packet, int fd = -1);
   // The next packet within the limit. Nothing: none came, and `ended` tells whether none will.
   std::optional<Received> Receive(Limit limit);
--- a/src/relay/classes.hpp
+++ b/src/relay/classes.hpp
@@ -1,6 +1,6 @@
 // The classes of messages: those that clients may name now, and those that settings have dropped or changed
 // while messages of theirs are still held. A class keeps its number for as long as anything is held under it.
-// No I/O.
+// No I/O; it owns copies.
 #pragma once
 
 #include <map>
@@ -25,6 +25,7 @@
 
   // By number. It never gets shorter; a number nobody holds any more may be given to another class.
   const std::vector<wheathub::MessageClass>& all() const { return all_; }
+  // Good until the next NumberOf or Renew. Throws std::out_of_range for a number that was never given.
   const wheathub::MessageClass& at(int number) const { return all_.at(static_cast<std::size_t>(number)); }
 
  private:
