Answer what comes as a relay ends, read what is there before acting on it, end clients without reset

What was at fault: - Program::Look ended the loop on 'nothing owed' while the module still took messages on: libev calls the reads of the same round after its timers, so a whole request was read and never answered: lost. Now the end goes through settling, and waits for clients that have begun. - Client::Answered left over commands behind one another, read and unanswered. They are answered first. - CloseDoor reset connections that waited to be accepted. They are taken before. - LegWriting let a connection that came up after the last sends carry its call, cut 450 ms later as one that may have run. Settle takes such calls back; the next process makes them. - libev restored the default action in ~Signal: SIGHUP or a second SIGTERM during the destructors ended the program by the signal. - Timers ran before reads of the same round: an answer that had come by its deadline was a time-out, a request at the end of a rest met a close, a told wait or a drain stood unread while a connection coming up wrote its call. What has come now goes first (net/connection.hpp), and a time-out or a cancelled call looks once more. - Client::Leave closed over unread bytes: a reset. It ends its sending and waits 300 ms for the client; what crosses is left unread. - A 1xx answer started the 400 ms within which an answer must be whole. Ruled out: order of epoll alone (both orders fail in one case or the other).

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -3,7 +3,9 @@
 #include <strings.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 #include "acquirer/command.hpp"
@@ -17,6 +19,10 @@
 // or never all of it, holds a descriptor that others need. The platform lets 3 s pass; some write for 2 s.
 constexpr net::Time kCommandWithin = 2700ms;
 constexpr net::Time kIdle = 10s;  // a client that has asked and kept its connection
+// One whose connection is ended here is waited for: closed at once over bytes that it was just sending, the
+// connection would be reset, and what it was answered lost on the way.
+constexpr net::Time kLinger = 300ms;
+constexpr int kMostWaiting = 1024;  // connections taken when the door closes
 // A client asks right after it has connected: one that hasn't begun by then, or whose command has not come on
 // for so long, is the first to give way.
 constexpr net::Time kAsksWithin = 300ms;
@@ -35,14 +41,14 @@
       all_(all),
       connection_(loop, fd, *this, kRing),
       timer_(loop, [this] { OnDue(); }),
-      next_(loop, [this] { connection_.Resume(); }),
+      next_(loop, [this] { GoOn(); }),
       quiet_since_(net::Loop::Now()) {
   timer_.After(kCommandWithin);
 }
 
 void Client::OnBytes(proto::RingBuffer& in) {
   came_at_ = net::Loop::Now();
-  while (!waiting_ && !in.empty() && connection_.connected()) {
+  while (!waiting_ && !leaving_ && !in.empty() && connection_.connected()) {
     in.Consume(parser_.Feed(in.Front()));
     if (parser_.state() == proto::RespParser::State::kBad) {
       all_.counters_.malformed += 1;
@@ -51,7 +57,9 @@
     }
     if (parser_.state() == proto::RespParser::State::kCommand) Answer(parser_.Take());
   }
-  if (connection_.connected() && !waiting_) Watch();
+  if (!connection_.connected() || waiting_ || leaving_) return;
+  Watch();
+  if (all_.closing_ && idle()) next_.After(net::Time(0));
 }
 
 // Over a command that doesn't get whole, and over a client that has asked and rests.
@@ -112,11 +120,20 @@
 void Client::Answered() {
   waiting_ = false;
   quiet_since_ = all_.quiet_since_ = net::Loop::Now();
-  if (all_.closing_ && parser_.idle()) return Leave();
   next_.After(net::Time(0));
   Watch();
 }
 
+// What came behind a command that is answered now; it is answered as well before its client is sent away.
+void Client::GoOn() {
+  connection_.Resume();
+  if (all_.closing_) SendAway();
+}
+
+void Client::SendAway() {
+  if (!leaving_ && idle() && !next_.active() && connection_.Quiet()) Leave();
+}
+
 bool Client::Say(const std::string& text) {
   if (connection_.Send(text)) return true;
   timer_.After(net::Time(0));  // gone, or it reads nothing of what it asks for
@@ -124,7 +141,12 @@
 }
 
 void Client::OnDue() {
-  if (!resting_ && connection_.connected() && connection_.flushed()) {
+  // A request that crosses the end of its rest is served: closed over it, the connection would be reset.
+  if (resting_ && !leaving_ && connection_.connected() && !connection_.Quiet()) {
+    resting_ = false;
+    return timer_.After(kCommandWithin);
+  }
+  if (!resting_ && !leaving_ && connection_.connected() && connection_.flushed()) {
     all_.counters_.clients_too_slow += 1;
     Say(proto::RespError("ERR no whole command in time"));
   }
@@ -132,6 +154,7 @@
 }
 
 Client::Claim Client::claim(net::Time now) const {
+  if (leaving_) return Claim::kNone;
   const bool comes = came_at_ > net::Time(0) && now - came_at_ <= kComesOnWithin;
   if (!asked_ && !comes && now - quiet_since_ > kAsksWithin) return Claim::kNone;
   if (idle()) return asked_ ? Claim::kIdle : Claim::kNew;
@@ -157,6 +180,10 @@
   if (std::exchange(waiting_, false)) all_.relay_.Withdraw(*this);
   timer_.Stop();
   next_.Stop();
+  if (!leaving_ && connection_.EndSending()) {
+    leaving_ = true;
+    return timer_.After(kLinger);
+  }
   connection_.Close();
   all_.Leave(*this);
 }
@@ -201,6 +228,7 @@
     return;
   }
   counters_.clients += 1;
+  quiet_since_ = net::Loop::Now();
   auto client = std::make_unique<Client>(loop_, fd, *this);
   clients_.emplace(client.get(), std::move(client));
 }
@@ -210,12 +238,22 @@
 // answer.
 bool Acquirers::MakeRoom(Client::Claim most) {
   const net::Time now = net::Loop::Now();
-  Client* least = nullptr;
-  const auto standing = [now](const Client& c) { return std::pair(c.claim(now), c.quiet_since()); };
+  std::vector<std::tuple<Client::Claim, net::Time, Client*>> all;
   for (const auto& [client, owned] : clients_) {
-    if (least == nullptr || standing(*client) < standing(*least)) least = client;
+    const Client::Claim claim = client->claim(now);
+    if (claim <= most) all.emplace_back(claim, client->quiet_since(), client);
+  }
+  // One whose next command has just come, unread so far, is no longer idle.
+  const auto stays = [](const auto& c) {
+    return std::get<0>(c) != Client::Claim::kNone && !std::get<2>(c)->quiet();
+  };
+  Client* least = nullptr;
+  while (least == nullptr && !all.empty()) {
+    const auto first = std::min_element(all.begin(), all.end());
+    if (!stays(*first)) least = std::get<2>(*first);
+    all.erase(first);
   }
-  if (least == nullptr || least->claim(now) > most) return false;
+  if (least == nullptr) return false;
   counters_.clients_evicted += 1;
   counters_.clients_evicted_unasked += least->claim(now) != Client::Claim::kIdle;
   least->Close();
@@ -232,7 +270,12 @@
 
 // Clients use the connections that they have for as long as these stay open: one that is closed early sends
 // its share of the load to the other relays, which have slots for their own.
-void Acquirers::CloseDoor() { listener_.reset(); }
+// Those that have connected and wait to be taken would be reset with the listener; where somebody else holds
+// it they are left for whoever comes next.
+void Acquirers::CloseDoor() {
+  if (listener_ && inherited_ < 0) listener_->AcceptWaiting(kMostWaiting);
+  listener_.reset();
+}
 
 void Acquirers::OpenDoor() {
   const auto accepted = [this](int fd) { Accept(fd); };
@@ -246,14 +289,9 @@
 
 void Acquirers::SendAway() {
   closing_ = true;
-  std::vector<Client*> idle;
-  for (const auto& [client, owned] : clients_) {
-    if (client->idle()) idle.push_back(client);
-  }
-  for (Client* client : idle) {
-    client->Close();
-    Leave(*client);
-  }
+  std::vector<Client*> all;
+  for (const auto& [client, owned] : clients_) all.push_back(client);
+  for (Client* client : all) client->SendAway();
 }
 
 }  // namespace oxbowspread::acquirer
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -37,8 +37,12 @@
   enum class Claim { kNone, kIdle, kNew, kServed };
   Claim claim(net::Time now) const;
   net::Time quiet_since() const { return quiet_since_; }
+  // Nothing has come that is not looked at.
+  bool quiet() const { return connection_.Quiet(); }
   void Close() { connection_.Close(); }
-  bool open() const { return connection_.connected(); }
+  // Leaves now, if it rests and nothing more has come of it; else once that is answered.
+  void SendAway();
+  bool open() const { return connection_.connected() && !leaving_; }
   Passed passed() const;
   void TakeUp(const Passed& passed);
 
@@ -51,6 +55,7 @@
   void Leave();
   void OnDue();
   void Answered();
+  void GoOn();
   void Watch();
 
   net::Loop& loop_;
@@ -62,6 +67,7 @@
   bool waiting_ = false;  // for the module's word
   bool asked_ = false;    // a whole command, at any time
   bool resting_ = false;  // the timer is that of an idle client
+  bool leaving_ = false;  // has been sent all it gets; nothing more of it is looked at
   net::Time quiet_since_{0};
   net::Time came_at_{0};  // the last bytes; 0: none
 };
@@ -84,7 +90,7 @@
   void OpenDoor();
   // They leave now, those that wait for an answer once they have it.
   void SendAway();
-  // Since when nobody has asked for anything.
+  // Since when nobody has come or asked for anything.
   net::Time quiet_since() const { return quiet_since_; }
   void SetMost(std::size_t most) { most_ = most; }
   std::size_t clients() const { return clients_.size(); }
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -196,8 +196,8 @@
     }
   }
 
-  // After SIGTERM: the door, then the last sends, then the end, or as soon as nothing is owed and nobody
-  // asks.
+  // After SIGTERM: the door, then the last sends, then the end; as soon as nothing is owed and nobody asks,
+  // all but the door without waiting.
   void Look() {
     if (phases_.now() == Phase::kServing) return;  // resumed
     if (phases_.now() == Phase::kGiven) return LookGiven();
@@ -205,11 +205,12 @@
     drain_ms_ = since / 1ms;
     if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
     if (phases_.now() == Phase::kPaused) return LookPaused(since);
-    if (since >= kSettleAt) phases_.Enter(Phase::kSettling);
     const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
     const bool empty = relay_.done() && relay_.out() == 0 && quiet >= kDoorOpen;
-    const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0;
-    if (empty || settled || since >= kStopAt) return phases_.Enter(Phase::kStopped);
+    if (empty || since >= kSettleAt) phases_.Enter(Phase::kSettling);
+    // What a client has begun is answered, and its answer reaches it: both take no longer than it does.
+    const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0 && acquirers_->clients() == 0;
+    if (settled || since >= kStopAt) return phases_.Enter(Phase::kStopped);
     step_.After(kLookEach);
   }
 
@@ -468,7 +469,9 @@
   if (const auto code = apps::Parse(app, "oxbowspread", argc, argv)) return *code;
   if (!check.empty()) return CheckConfig(check);
   std::signal(SIGPIPE, SIG_IGN);
-  net::Signal::HoldBack(SIGHUP);  // a reload asked for while the program starts
+  // A reload or a report asked for while the program starts.
+  net::Signal::HoldBack(SIGHUP);
+  net::Signal::HoldBack(SIGUSR1);
   try {
     options.argv = argv;
     const config::Config c = config::FromEnvironment();
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -164,7 +164,10 @@
   const auto it = out_.find(leg);
   if (it == out_.end()) return;
   Line& line = *it->second;
-  out_.erase(it);
+  line.ReadNow();
+  const auto still = out_.find(leg);
+  if (still == out_.end()) return;
+  out_.erase(still);
   Remove(line);
 }
 
--- a/src/issuer/line.cpp
+++ b/src/issuer/line.cpp
@@ -101,12 +101,19 @@
       timer_.At(order_->give_up_at < until ? order_->give_up_at : until);
     }
     in.Consume(reader_.Feed(in.Front()));
+    if (order_ && reader_.at_start()) AwaitAnswer();
     // A first line with 200 is a delivery, whatever is wrong with the rest.
     if (order_ && reader_.first_line_status() == 200) EndLeg(relay::LegEnd());
     if (reader_.state() == proto::HttpReader::State::kBad) return Spoilt();
   }
 }
 
+// An interim answer is over, and nothing of the next one has come: that may take its time.
+void Line::AwaitAnswer() {
+  answering_ = false;
+  timer_.At(order_->give_up_at);
+}
+
 // Only a whole answer is believed when it says that nothing ran: the call of a spoilt one has run.
 void Line::OnWhole(bool keep_alive) {
   answering_ = false;
@@ -161,6 +168,11 @@
 }
 
 void Line::OnDue() {
+  // An answer that has come with the time-out counts: it may tell a wait, or that nothing ran.
+  const bool carried = busy();
+  ReadNow();
+  const bool answered = carried && !busy() && !answering_;
+  if (lost_ || answered || timer_.active()) return;
   if (answering_) return Spoilt();  // its end, or its head's, doesn't come
   if (!order_) return Lose();
   const bool sent = wrote_ && connection_->flushed();
--- a/src/issuer/line.hpp
+++ b/src/issuer/line.hpp
@@ -49,6 +49,10 @@
   const net::Address& address() const { return address_; }
   net::Time free_since() const { return free_since_; }
   bool used() const { return used_; }  // has brought an answer
+  // Takes at once what has come of an answer; the owner may be called.
+  void ReadNow() {
+    if (connection_ != nullptr) connection_->ReadNow();
+  }
   // Gives up: what is out may have run if its last byte is written.
   void Cut();
   // The call's last byte has been handed to the system.
@@ -64,6 +68,7 @@
   void Write();
   void End(const relay::LegEnd& end);
   void EndLeg(const relay::LegEnd& end);
+  void AwaitAnswer();
   void Spoilt();
   void Lose();
   void OnDue();
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -27,6 +27,8 @@
   std::memcpy(address->sun_path, path.data(), path.size());
   return true;
 }
+// Of libev's five: those served first, and what comes on any connection. All else has 0.
+constexpr int kFirst = EV_MAXPRI, kIncoming = 1;
 bool Again(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 }  // namespace
 
@@ -49,7 +51,7 @@
     : loop_(loop), user_(user), fd_(fd), in_(limit), out_(limit), io_(loop.ref()) {
   NoDelay(fd);
   io_.set<Connection, &Connection::OnIo>(this);
-  io_.start(fd_, ev::READ);
+  Watch();
 }
 
 std::unique_ptr<Connection> Connection::Open(Loop& loop, const Address& to, User& user, std::size_t limit) {
@@ -83,12 +85,13 @@
   const bool reading = !connecting_ && !in_.full();
   const bool writing = connecting_ || !out_.empty();
   const int events = (reading ? ev::READ : 0) | (writing ? ev::WRITE : 0);
-  io_.stop();
+  io_.stop();  // a watcher's priority may only change while it rests
+  io_.priority = first_ ? kFirst : connecting_ ? 0 : kIncoming;
   if (events != 0) io_.start(fd_, events);
 }
 
 bool Connection::Send(std::string_view bytes) {
-  if (fd_ < 0 || broken_ || !out_.Append(bytes)) return false;
+  if (fd_ < 0 || broken_ || ending_ || !out_.Append(bytes)) return false;
   if (connecting_) return true;
   if (!Flush()) {
     // Told to the user from the loop: the caller is in the middle of something.
@@ -134,6 +137,7 @@
 }
 
 void Connection::OnReadable() {
+  if (ending_) return OnReadableAtEnd();
   bool ended = false;
   while (!ended) {
     const std::span<char> space = in_.Space();
@@ -147,7 +151,34 @@
   if (!in_.empty()) user_.OnBytes(in_);
   if (fd_ < 0) return;
   if (ended) return Lose();
-  Watch();
+  if (!ending_) Watch();
+}
+
+// Whether the other side has ended it too. Bytes that crossed the end stay unread; with them in the way its
+// end can't be seen.
+void Connection::OnReadableAtEnd() {
+  char byte = 0;
+  const ssize_t count = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) return io_.stop();
+  if (count == 0 || !Again(errno)) Lose();
+}
+
+void Connection::ReadNow() {
+  if (fd_ < 0 || connecting_) return;
+  if (broken_) return Lose();
+  OnReadable();
+}
+
+bool Connection::EndSending() {
+  if (fd_ < 0 || connecting_ || broken_ || !out_.empty()) return false;
+  if (std::exchange(ending_, true)) return true;
+  if (shutdown(fd_, SHUT_WR) != 0) {
+    ending_ = false;
+    return false;
+  }
+  io_.stop();
+  io_.start(fd_, ev::READ);
+  return true;
 }
 
 Connection::Rest Connection::rest() const { return {fd_, in_.Text(), out_.Text()}; }
@@ -158,13 +189,13 @@
 }
 
 void Connection::Resume() {
+  if (ending_) return;
   if (fd_ >= 0 && !in_.empty()) user_.OnBytes(in_);
-  Watch();
+  if (!ending_) Watch();
 }
 
 void Connection::First() {
-  io_.stop();  // a watcher's priority may only change while it rests
-  io_.priority = EV_MAXPRI;
+  first_ = true;
   Watch();
 }
 
@@ -265,7 +296,7 @@
 
 void Listener::First() {
   io_.stop();
-  io_.priority = EV_MAXPRI;
+  io_.priority = kFirst;
   Resume();
 }
 
@@ -280,8 +311,10 @@
   if (!path_.empty()) unlink(std::exchange(path_, {}).c_str());
 }
 
-void Listener::OnIo(ev::io&, int) {
-  for (int i = 0; i < 64 && io_.is_active(); ++i) {
+void Listener::OnIo(ev::io&, int) { AcceptWaiting(64); }
+
+void Listener::AcceptWaiting(int most) {
+  for (int i = 0; i < most && io_.is_active(); ++i) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
       accepted_(fd);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -1,4 +1,6 @@
 // Thin drivers: a connection reads into one ring and writes from another; what the bytes mean is its user's.
+// Of what is ready in one round of the loop, what has come on connections goes before timers, new clients and
+// connections that come up: an answer that is there is taken before its time-out, a list before a call.
 #pragma once
 
 #include <netinet/in.h>
@@ -53,6 +55,14 @@
   // Whether the other side has ended it, though the loop has not told so yet.
   bool Ended() const;
   void Close();
+  // Takes at once what has come, as the loop would have: the user may be called. For the moment before
+  // something is ended for want of it.
+  void ReadNow();
+  // Ends it so that what was sent reaches the other side: a close over unread bytes would reset the
+  // connection and take that with it. What still comes is left unread. OnClosed follows when the other side
+  // has ended it too; whoever calls this calls Close if that takes too long. True if it is under way; false,
+  // and nothing done, where not all is written or the connection is gone.
+  bool EndSending();
   // What another process needs to go on with it: its descriptor, which stays this one's until Close, what
   // came and was not consumed, and what is still to be written.
   struct Rest {
@@ -73,6 +83,7 @@
   void OnIo(ev::io& io, int events);
   void OnWritable();
   void OnReadable();
+  void OnReadableAtEnd();
   bool Flush();
   void Watch();
   void Lose();
@@ -82,6 +93,8 @@
   int fd_;
   bool connecting_ = false;
   bool broken_ = false;
+  bool ending_ = false;  // nothing more is sent or read
+  bool first_ = false;
   proto::RingBuffer in_, out_;
   ev::io io_;
 };
@@ -106,6 +119,8 @@
   // As Connection::First.
   void First();
   void Pause() { io_.stop(); }
+  // Takes those that have connected already, so many at most: Close would reset them.
+  void AcceptWaiting(int most);
   void Resume();
   void Close();
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -41,7 +41,7 @@
 }
 
 Signal::Signal(Loop& loop, int number, std::function<void()> came)
-    : signal_(loop.ref()), came_(std::move(came)) {
+    : number_(number), signal_(loop.ref()), came_(std::move(came)) {
   signal_.set<Signal, &Signal::OnSignal>(this);
   signal_.start(number);
   Mask(SIG_UNBLOCK, number);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -55,12 +55,17 @@
 class Signal {
  public:
   Signal(Loop& loop, int number, std::function<void()> came);
+  // Held back again from then on: what comes while the program ends must not end it by the signal.
+  ~Signal() { HoldBack(number_); }
+  Signal(const Signal&) = delete;
+  Signal& operator=(const Signal&) = delete;
   // Until a watcher for it starts it neither ends the program nor is lost.
   static void HoldBack(int number);
 
  private:
   void OnSignal(ev::sig&, int) { came_(); }
 
+  int number_;
   ev::sig signal_;
   std::function<void()> came_;
 };
--- a/src/proto/http.hpp
+++ b/src/proto/http.hpp
@@ -44,6 +44,8 @@
   State state() const { return state_; }
   // What a whole first line says, however the answer goes on; 0 before, and where it is no such line.
   int first_line_status() const { return first_line_status_; }
+  // Nothing has come of the answer that is awaited, but perhaps interim ones, all whole.
+  bool at_start() const { return state_ == State::kMore && first_line_.empty(); }
   // The connection has ended: an answer without a length is whole then.
   void Finish();
 
--- a/src/relay/ports.hpp
+++ b/src/relay/ports.hpp
@@ -76,7 +76,8 @@
   virtual void Adopt(const RoutingChange& change) = 0;
   // Ends in one Relay::LegEnded, which may come from within this call.
   virtual void Begin(LegOrder order) = 0;
-  virtual void Cut(const LegId& leg) = 0;  // no LegEnded follows
+  // Ends it; where its answer has come unread so far, by Relay::LegEnded from within this call. None follows.
+  virtual void Cut(const LegId& leg) = 0;
   virtual void CloseIdle(const std::string& host) = 0;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -170,12 +170,25 @@
   Queue(std::move(message));
 }
 
-// Whoever is not taken on by now hears so: a connection that ends without an answer loses the message.
+// Whoever is not taken on by now hears so: a connection that ends without an answer loses the message. A leg
+// that still waits for its connection is taken back: written now it might not end before the process does.
 void Relay::Settle() {
-  settled_ = true;
+  if (std::exchange(settled_, true)) return;
   for (const auto& [id, fresh] : std::exchange(fresh_, {})) {
     for (Acquirer* from : fresh.from) from->Refused(kComeAgain);
   }
+  TakeBackUnwritten();
+}
+
+void Relay::TakeBackUnwritten() {
+  std::vector<LegId> unwritten;
+  for (const auto& [leg, out] : out_) {
+    if (!out.written) unwritten.push_back(leg);
+  }
+  for (const LegId& leg : unwritten) {
+    sides_.issuer.Cut(leg);
+    LegEnded(leg, {Outcome::kNotSent, false, Time(0)});
+  }
 }
 
 void Relay::Withdraw(Acquirer& from) {
@@ -237,15 +250,10 @@
   Estate all;
   all.table = table_.Listed();
   all.beliefs = decider_.beliefs();
-  std::vector<LegId> unwritten;
   for (const auto& [leg, out] : out_) {
     if (out.written) all.out.push_back({leg.id, out.host, out.begun});
-    if (!out.written) unwritten.push_back(leg);
-  }
-  for (const LegId& leg : unwritten) {
-    sides_.issuer.Cut(leg);
-    LegEnded(leg, {Outcome::kNotSent, false, Time(0)});
   }
+  TakeBackUnwritten();
   return all;
 }
 
@@ -347,7 +355,7 @@
 
 bool Relay::LegWriting(const LegId& leg, const std::string& host, int zone) {
   const auto it = out_.find(leg);
-  if (it == out_.end() || given()) return false;
+  if (it == out_.end() || settled_) return false;
   it->second.written = journal_.BeginLeg(leg.id, {host, zone, sides_.clock.UnixNow()});
   return it->second.written;
 }
@@ -412,8 +420,9 @@
   const LegId leg{cancel.id, cancel.attempt};
   const auto it = out_.find(leg);
   if (it == out_.end()) return;  // its end is on the way to the module
-  sides_.issuer.Cut(leg);
-  LegEnded(leg, {it->second.written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
+  const bool written = it->second.written;
+  sides_.issuer.Cut(leg);  // what has come of it by now is taken first, and may have ended it
+  LegEnded(leg, {written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
 }
 
 // ---- ends ----
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -117,6 +117,7 @@
   bool TakeOn(const Fresh& fresh);
   void End(const std::string& id, const journal::Ending& ending);
   void Count(const LegEnd& end);
+  void TakeBackUnwritten();
   LegOrder OrderOf(const wheathub::Send& send, const Held& held) const;
 
   void Do(const wheathub::Send& send);
--- /dev/null
+++ b/tests/relay/crossing_test.cpp
@@ -0,0 +1,330 @@
+// What meets in one moment: the relay is stopped (SIGSTOP), bytes, connections and signals are put in its
+// way, and it finds them all together when it goes on.
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+
+#include "rig.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+struct Crossing {
+  World world;
+  RelayProcess relay{world};
+
+  Crossing() { world.AddHost("a", 7); }
+  void UntilCount(Client& client, const char* counter, long count) {
+    world.Until([&] { return client.Counters()[counter] >= count; });
+  }
+  // The time passes while the relay stands still.
+  void Pass(std::chrono::milliseconds span) {
+    const auto until = Clock::now() + span;
+    world.Until([&] { return Clock::now() >= until; }, span + 5s);
+  }
+};
+
+// A host with room for one connection that nobody has accepted: a stranger in it keeps the relay's
+// connecting.
+struct Narrow {
+  Socket listener = Socket::Listen(0);
+  Socket stranger;
+
+  Narrow(World& world, const std::string& id, int cell) {
+    world.AddHost(id, cell);
+    world.SetPort(id, listener.port());
+  }
+  void Fill() { stranger = Socket::Connect(listener.port()); }
+  // Lets the stranger in, and then the relay's connection, which its system tries again.
+  Socket AcceptLate() {
+    const Socket first = listener.Accept(5s);
+    return listener.Accept(5s);
+  }
+};
+
+// ---- waits and drains between choice and first byte ----
+
+TEST_CASE("a wait that one host of a destination tells binds a call still connecting to another") {
+  Crossing c;
+  Narrow narrow(c.world, "narrow", 8);
+  c.world.AddHost("open", 8);
+  narrow.Fill();
+  c.relay.config["settings"]["family-info"]["kind-apart"] = {false};
+  c.relay.Start();
+  Client client(c.relay);
+  for (const char* id : {"id-1", "id-2"}) {
+    client.Put(id, "hello", 8000, ",k=key1,dest=8");
+    REQUIRE(client.Line() == "+OK");
+  }
+  c.world.Answer(c.world.NextCall(), "429 Full", "Retry-After: 30\r\n");
+  c.UntilCount(client, "refused", 1);
+  const Socket late = narrow.AcceptLate();
+  REQUIRE(late.fd() >= 0);
+  c.UntilCount(client, "legs_held_back", 1);
+  CHECK(late.Receive(0ms).empty());
+}
+
+TEST_CASE("a wait that has come unread goes before a connection that comes up") {
+  Crossing c;
+  Narrow narrow(c.world, "narrow", 8);
+  c.relay.Start();
+  Client client(c.relay);
+  client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  const Socket first = narrow.listener.Accept(5s);
+  REQUIRE(first.Receive(5s).find("id-1") != std::string::npos);
+  narrow.Fill();
+  client.Put("id-2", "hello", 8000, ",k=key2,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  c.UntilCount(client, "legs", 2);
+  c.relay.Halt();
+  first.Send("HTTP/1.1 429 Full\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+  first.UntilTaken();
+  const Socket late = narrow.AcceptLate();
+  REQUIRE(late.fd() >= 0);
+  c.relay.GoOn();
+  c.UntilCount(client, "legs_held_back", 1);
+  CHECK(late.Receive(0ms).empty());
+}
+
+TEST_CASE("a drain that has come unread goes before a connection that comes up") {
+  Crossing c;
+  Narrow narrow(c.world, "narrow", 8);
+  narrow.Fill();
+  c.relay.Start();
+  Client client(c.relay);
+  c.world.Until([&] { return c.world.watches == 1; });
+  client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  c.UntilCount(client, "legs", 1);
+  c.relay.Halt();
+  c.world.SetState("narrow", "Terminating");
+  c.world.UntilTold();
+  const Socket late = narrow.AcceptLate();
+  REQUIRE(late.fd() >= 0);
+  c.relay.GoOn();
+  c.UntilCount(client, "legs_held_back", 1);
+  CHECK(late.Receive(0ms).empty());
+}
+
+// ---- answers and the ends of time ----
+
+TEST_CASE("an answer that has come by its message's deadline counts, though the relay looks only later") {
+  Crossing c;
+  c.relay.Start();
+  Client client(c.relay);
+  client.Put("id-1", "hello", 1000);
+  REQUIRE(client.Line() == "+OK");
+  const HttpRequest call = c.world.NextCall();
+  c.relay.Halt();
+  c.world.Answer(call, "200 OK");
+  call.from->UntilTaken();
+  c.Pass(1100ms);
+  c.relay.GoOn();
+  c.UntilCount(client, "delivered", 1);
+  CHECK(client.Counters()["timed_out"] == 0);
+  CHECK(client.Counters()["undeliverable"] == 0);
+}
+
+TEST_CASE("an interim answer starts no clock: the one that follows may take its time") {
+  Crossing c;
+  c.relay.Start();
+  Client client(c.relay);
+  client.Put("id-1");
+  REQUIRE(client.Line() == "+OK");
+  const HttpRequest call = c.world.NextCall();
+  call.from->Send("HTTP/1.1 102 Processing\r\n\r\n");
+  c.Pass(700ms);
+  c.world.Answer(call, "200 OK");
+  c.UntilCount(client, "delivered", 1);
+  CHECK(client.Counters()["legs"] == 1);
+  // Half of the next first line is one that has begun.
+  client.Put("id-2");
+  REQUIRE(client.Line() == "+OK");
+  const HttpRequest half = c.world.NextCall();
+  half.from->Send("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 20");
+  c.UntilCount(client, "answers_spoilt", 1);
+}
+
+// ---- the end of the process ----
+
+TEST_CASE("SIGTERM: a request that comes with the end of the process is answered") {
+  Crossing c;
+  c.relay.Start();
+  Client resting(c.relay);
+  REQUIRE(resting.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("draining");
+  c.relay.Halt();
+  c.Pass(700ms);  // nothing is owed, nobody has asked for half a second: all that is left is to end
+  resting.Put("id-1");
+  resting.socket().UntilTaken();
+  c.relay.GoOn();
+  const std::string answer = resting.Line();
+  CHECK((answer == "+OK" || answer.substr(0, 5) == "-BUSY"));
+  if (answer == "+OK") c.world.Answer(c.world.NextCall(), "200 OK");
+  CHECK(c.relay.WaitForEnd() == 0);
+}
+
+TEST_CASE("SIGTERM: commands behind one another are all answered when the last sends are over") {
+  Crossing c;
+  c.relay.Start();
+  Client busy(c.relay), many(c.relay);
+  busy.Put("hung");
+  REQUIRE(busy.Line() == "+OK");
+  c.world.NextCall();
+  REQUIRE(many.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("draining");
+  c.relay.Halt();
+  c.Pass(3150ms);
+  std::string all;
+  for (const char* id : {"id-1", "id-2", "id-3"}) all += Client::PutText(id, "hello", 8000, ",k=key1,dest=7");
+  many.socket().Send(all);
+  many.socket().UntilTaken();
+  c.relay.GoOn();
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = many.Line();
+    CHECK((answer == "+OK" || answer.substr(0, 5) == "-BUSY"));
+  }
+  CHECK(c.relay.WaitForEnd() == 0);
+}
+
+TEST_CASE("SIGTERM: connections that wait at the door when it closes are served") {
+  Crossing c;
+  c.relay.Start();
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("draining");
+  c.relay.Halt();
+  c.Pass(600ms);
+  Client late(c.relay);
+  late.Put("id-1");
+  late.socket().UntilTaken();
+  c.relay.GoOn();
+  CHECK(late.Line() == "+OK");
+  c.world.Answer(c.world.NextCall(), "200 OK");
+  CHECK(c.relay.WaitForEnd() == 0);
+}
+
+TEST_CASE(
+    "SIGTERM: a call whose connection comes up after the last sends is not written, and is made by the next "
+    "process") {
+  Crossing c;
+  Narrow narrow(c.world, "narrow", 8);
+  narrow.Fill();
+  c.relay.config["settings"]["limits"]["connect-timeout-s"] = 10;
+  c.relay.Start();
+  Client client(c.relay);
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("draining");
+  c.Pass(
+      200ms);  // the system asks for a connection again 1 s and 3 s later: between the last sends and the end
+  client.Put("id-1", "hello", 20000, ",k=key1,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  c.relay.UntilLog("settling");
+  const Socket stranger = narrow.listener.Accept(0ms);
+  CHECK(c.relay.WaitForEnd() == 0);
+  const Socket late = narrow.listener.Accept(0ms);
+  CHECK((late.fd() < 0 || late.Receive(0ms).empty()));
+  c.relay.Start();
+  const Socket again = narrow.listener.Accept(5s);
+  REQUIRE(again.fd() >= 0);
+  CHECK(again.Receive(5s).find("id-1") != std::string::npos);
+}
+
+TEST_CASE("SIGTERM: neither SIGHUP nor a second SIGTERM, at whatever moment of the end, makes it another") {
+  Crossing c;
+  c.relay.Start();
+  c.relay.Signal(SIGHUP);
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("settling");
+  // Up to the very last instruction: signals are sent until there is nobody to take them.
+  int status = 0;
+  while (waitpid(c.relay.pid(), &status, WNOHANG) == 0) {
+    for (const int number : {SIGHUP, SIGTERM, SIGUSR1}) c.relay.Signal(number);
+    c.relay.log();  // else what it says fills the pipe and stops it
+  }
+  CHECK(c.relay.Ended(status) == 0);
+}
+
+// ---- the close of a client's connection ----
+
+TEST_CASE("an answer reaches its client though the connection is ended over bytes that follow it") {
+  Crossing c;
+  c.relay.Start();
+  Client client(c.relay);
+  REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  c.relay.Halt();
+  // More than the relay reads at once, behind a command that it can't read.
+  client.socket().Send("nonsense\r\n" + std::string(100'000, 'x'));
+  client.socket().UntilTaken();
+  c.relay.GoOn();
+  CHECK(client.Line().substr(0, 4) == "-ERR");
+  bool ended = false;
+  int error = 0;
+  c.world.Until([&] {
+    client.socket().Receive(0ms, &ended, &error);
+    return ended;
+  });
+  CHECK(error == 0);  // not a reset
+}
+
+TEST_CASE("a request that crosses the end of its connection's rest is served") {
+  Crossing c;
+  c.relay.Start();
+  Client client(c.relay);
+  REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  c.relay.Halt();
+  c.Pass(10'100ms);
+  client.Put("id-1");
+  client.socket().UntilTaken();
+  c.relay.GoOn();
+  CHECK(client.Line() == "+OK");
+  c.world.Answer(c.world.NextCall(), "200 OK");
+}
+
+// ---- the list ----
+
+TEST_CASE("a change that comes indented over several lines, cut anywhere, is taken up") {
+  Crossing c;
+  c.world.AddHost("b", 7);
+  c.relay.Start();
+  Client client(c.relay);
+  c.world.Until([&] { return c.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  auto gone = c.world.Entry("b");
+  gone["state"] = "Gone";
+  gone["note"] = "a brace } and a \\\" in a text {";
+  const nlohmann::json change = {{"version", 7}, {"full", false}, {"servers", {gone}}};
+  const std::string text = "\n" + change.dump(2) + "\n\n";
+  for (std::size_t at = 0; at < text.size(); at += 7) c.world.TellText(text.substr(at, 7));
+  c.UntilCount(client, "list_changes", changes + 1);
+  CHECK(client.Counters()["list_failures"] == 0);
+  CHECK(c.world.watches == 1);
+  for (int i = 0; i < 3; ++i) {
+    client.Put("id-" + std::to_string(i));
+    REQUIRE(client.Line() == "+OK");
+    const HttpRequest call = c.world.NextCall();
+    CHECK(c.world.HostOf(call) == "a");
+    c.world.Answer(call, "200 OK");
+  }
+}
+
+TEST_CASE("where lists are pushed the relay watches from its start, and again soon after a watch breaks") {
+  Crossing c;
+  c.world.AddHost("b", 7);
+  c.relay.config["settings"]["discovery"] = "push";
+  c.relay.config["settings"]["balancers"] = 300;
+  c.relay.config["settings"]["invariants"].erase("ask-within-s");
+  c.relay.Start();
+  Client client(c.relay);
+  c.world.Until([&] { return c.world.watches == 1; }, 1s);
+  c.UntilCount(client, "list_changes", 2);
+  c.world.SetState("b", "Terminating");
+  c.UntilCount(client, "list_changes", 3);
+  c.world.EndWatches();
+  c.world.Until([&] { return c.world.watches == 2; }, 1s);
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -94,12 +96,20 @@
   }
 }
 
-std::string Socket::Receive(std::chrono::milliseconds limit, bool* ended) const {
+void Socket::UntilTaken() const {
+  const auto until = Clock::now() + 5s;
+  int left = 1;
+  while (ioctl(fd_, SIOCOUTQ, &left) == 0 && left > 0 && Clock::now() < until) poll(nullptr, 0, 1);
+  REQUIRE(left == 0);
+}
+
+std::string Socket::Receive(std::chrono::milliseconds limit, bool* ended, int* error) const {
   pollfd p{fd_, POLLIN, 0};
   if (poll(&p, 1, static_cast<int>(limit.count())) <= 0) return {};
   char bytes[65536];
   const ssize_t count = recv(fd_, bytes, sizeof bytes, 0);
   if (count <= 0 && ended != nullptr) *ended = true;
+  if (error != nullptr) *error = count < 0 ? errno : 0;
   return std::string(bytes, static_cast<std::size_t>(std::max<ssize_t>(0, count)));
 }
 
@@ -128,6 +138,24 @@
   }
 }
 
+void World::TellText(const std::string& text) {
+  for (Peer& peer : peers_) {
+    if (peer.watch && !peer.left) Chunk(peer.socket, text);
+  }
+}
+
+void World::EndWatches() {
+  for (Peer& peer : peers_) {
+    if (std::exchange(peer.watch, false)) peer.socket.Close();
+  }
+}
+
+void World::UntilTold() const {
+  for (const Peer& peer : peers_) {
+    if (peer.watch && !peer.left && peer.socket.fd() >= 0) peer.socket.UntilTaken();
+  }
+}
+
 void World::SetPort(const std::string& id, int port) {
   hosts_[id]["addr"] = "127.0.0.1:" + std::to_string(port);
 }
@@ -229,6 +257,7 @@
     return;
   }
   watches += 1;
+  if (silent) return;
   peer.watch = true;
   peer.socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   Chunk(peer.socket, List().dump() + "\n");
@@ -343,6 +372,13 @@
 
 void RelayProcess::Signal(int number) const { kill(pid_, number); }
 
+void RelayProcess::Halt() {
+  int status = 0;
+  Signal(SIGSTOP);
+  REQUIRE(waitpid(pid_, &status, WUNTRACED) == pid_);
+  REQUIRE(WIFSTOPPED(status));
+}
+
 void RelayProcess::Reload(const std::string& text) const {
   std::ofstream(folder_ + "/config.json") << text;
   Signal(SIGHUP);
@@ -351,6 +387,10 @@
 int RelayProcess::WaitForEnd() {
   int status = 0;
   world_.Until([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+  return Ended(status);
+}
+
+int RelayProcess::Ended(int status) {
   pid_ = -1;
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -2,6 +2,7 @@
 // on ephemeral loopback ports. One thread, no sleeps: everything waits for an event, up to a limit.
 #pragma once
 
+#include <signal.h>
 #include <sys/types.h>
 
 #include <chrono>
@@ -34,8 +35,10 @@
   void Narrow(int receive_buffer) const;  // of what it accepts
   void Reset();                           // closes with a reset
   void Send(const std::string& bytes) const;
+  void UntilTaken() const;  // until the other side's system has all that was sent
   // What came within the limit; empty when nothing did, and `ended` when the other side closed.
-  std::string Receive(std::chrono::milliseconds limit, bool* ended = nullptr) const;
+  // `error` why, 0 if it did so without a reset.
+  std::string Receive(std::chrono::milliseconds limit, bool* ended = nullptr, int* error = nullptr) const;
 
  private:
   int fd_ = -1;
@@ -59,9 +62,12 @@
   void AddHost(const std::string& id, int cell, const std::string& zone = "north-room",
                int receive_buffer = 0);
   void SetState(const std::string& id, const std::string& state);  // tells the watch too
-  void Tell(const nlohmann::json& change);                         // to the watch, as it is
-  void SetPort(const std::string& id, int port);                   // listed there instead
-  void Stop(const std::string& id);                                // refuses connections from now on
+  void TellText(const std::string& text);                          // to the watch, a chunk as it is
+  void EndWatches();                                               // closes them
+  void UntilTold() const;                   // until the relay's system has all that the watches were told
+  void Tell(const nlohmann::json& change);  // to the watch, as it is
+  void SetPort(const std::string& id, int port);  // listed there instead
+  void Stop(const std::string& id);               // refuses connections from now on
   nlohmann::json Entry(const std::string& id) const { return hosts_.at(id); }
   nlohmann::json List() const;
   int discovery_port() const { return discovery_.port(); }
@@ -86,6 +92,7 @@
   int notices_of_old = 0;  // told at an address that discovery has left
   int watches = 0;
   bool heartbeats = true;
+  bool silent = false;  // discovery takes what is asked, and never answers
 
  private:
   struct Peer {
@@ -128,8 +135,12 @@
 
   void Start();  // until it answers PING
   void Signal(int number) const;
+  // SIGSTOP, until the process stands; what is done meanwhile waits for it, all at once, when it goes on.
+  void Halt();
+  void GoOn() const { Signal(SIGCONT); }
   void Reload(const std::string& text) const;  // replaces the configuration file, then SIGHUP
   int WaitForEnd();                            // its exit code, or minus the signal
+  int Ended(int status);                       // the same of one that the test has waited for
   std::string RunToEnd(int* code);             // one that can't start: what it wrote to standard error
   // The clients' listening socket, held by the test and inherited as descriptor 5; null: it listens itself.
   const Socket* held = nullptr;
