Watch pushed lists from the start, read indented ones, open a silent watch anew at once

Seen in crossing_test on the program as it was: with discovery "push" no watch is ever opened on sockets (only the module's asking did, which pushed settings turn off), so such a relay lives on the list it started with; a change indented over several lines is read a line at a time, which fails the watch, for ever; a watch gone silent is found after 3.2 s and asked for again after up to 0.8 x ask-within-s x 1.2 (300 relays: 9.6 s), beyond the 6 s by which its news counts as told. At fault: Program never called Watch where lists are pushed; Discovery::Call::OnBody split at line ends; FallSilent went through the module's spreading, which is meant for discovery's own failures. Now ListStream cuts a watch into objects by their brackets; pushed lists are watched from the start and asked for again within 0.24 s; a watch that stood and fell silent is opened anew at once (relays find it at moments of their own: each counts from its last line).

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -153,8 +153,10 @@
         if (taken) legs_.TakeOver(std::move(*start_.channel), start_.estate.out);
         relay_.Recover(known, taken ? &start_.estate : nullptr);
         issuer_.TakeWaits(start_.estate.waits);
+        // Lists that are pushed come on a watch too, which nothing asks for but this.
+        if (!config_.settings.list_must_be_asked_for) discovery_.Watch();
         if (taken) {
-          discovery_.WatchAhead();
+          if (config_.settings.list_must_be_asked_for) discovery_.WatchAhead();
           std::cout << config_.name << ": took over " << start_.clients.size() << " clients and "
                     << start_.estate.out.size() << " legs that go on in the old process" << std::endl;
         }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,8 +70,8 @@
 constexpr Time kAnswerMargin = 60ms;  // an unsent message is answered this long before its time ends
 constexpr Time kRetryAfter = 1s;      // advice to a refused client where nothing better is known
 // Asking for the list: all start, and lose discovery, together; it works through their calls in turn.
-constexpr double kAskEachS = 0.08;  // so far apart on average are the calls of all senders
-constexpr Time kAskSoon = 1s;       // a first repeat waits about so long at least, the next ones twice that
+constexpr double kAskEachS = 0.08;                 // so far apart on average are the calls of all senders
+constexpr Time kAskSoon = 1s, kAskPushed = 100ms;  // so long waits a first repeat, the next ones twice that
 // A tenant's share is counted over so long, and over so many messages at least: one of many sees few.
 constexpr double kQuotaBurstS = 2, kQuotaBurst = 2;
 
@@ -737,15 +737,15 @@
   // ---- events ----
   double AskSpreadS() const {
     const double most = s_.ask_within > 0us ? 0.8 * Seconds(s_.ask_within) : kHorizonS;
-    return std::clamp(kAskEachS * (s_.senders - 3), 0.0, most);
+    return s_.list_must_be_asked_for ? std::clamp(kAskEachS * (s_.senders - 3), 0.0, most) : 0;
   }
   void AskWithin(double span_s, double least_share) {
     SetAlarm(list_alarm_, now_ + Micros(span_s * Uniform(least_share, 1 + least_share)), std::monostate());
   }
   void On(const ListUpdate& update) {
     if (update.scope == ListScope::kFailed) {
-      AskWithin(std::max(Seconds(kAskSoon), AskSpreadS()) * (ask_failed_ ? 2 : 1), 0.2);
-      ask_failed_ = true;
+      const double soon_s = Seconds(s_.list_must_be_asked_for ? kAskSoon : kAskPushed);
+      AskWithin(std::max(soon_s, AskSpreadS()) * (std::exchange(ask_failed_, true) ? 2 : 1), 0.2);
       return;
     }
     ask_failed_ = false;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -1,5 +1,6 @@
 #include "routing/discovery.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -8,9 +9,11 @@
 
 using namespace std::chrono_literals;
 
-// A watch says something every 2 s; a machine that vanished says nothing, and TCP doesn't notice.
-// What it has to tell counts as told after 6 s, and the module asks again up to 1.3 s after a failure.
-constexpr net::Time kSilence = 3200ms;
+// A watch says something every 2 s; a machine that vanished says nothing, and TCP doesn't notice. What it has
+// to tell counts as told after 6 s: what was heard last is up to 2 s older than the silence, the rest is for
+// a new watch.
+constexpr net::Time kSilence = 2800ms;
+constexpr net::Time kAnswerWithin = 3200ms;  // of a call: discovery itself gives one up after less
 constexpr std::size_t kLongestText = 4u << 20;
 
 }  // namespace
@@ -81,12 +84,15 @@
 // ---- one call ----
 
 Discovery::Call::Call(Discovery& discovery, bool watch)
-    : discovery_(discovery), watch_(watch), reader_(*this), silence_(discovery.loop_, [this] { Fail(); }) {}
+    : discovery_(discovery),
+      watch_(watch),
+      reader_(*this),
+      silence_(discovery.loop_, [this] { FallSilent(); }) {}
 
 bool Discovery::Call::Open(const std::string& request) {
   request_ = request;
   connection_ = net::Connection::Open(discovery_.loop_, discovery_.address_, *this);
-  silence_.After(kSilence);
+  silence_.After(kAnswerWithin);
   return connection_ != nullptr;
 }
 
@@ -96,10 +102,14 @@
   if (connection_ != nullptr) connection_->Close();
 }
 
-void Discovery::Call::OnConnected() { connection_->Send(request_); }
+// A change that has come is told before anything that goes by the list is done.
+void Discovery::Call::OnConnected() {
+  connection_->First();
+  connection_->Send(request_);
+}
 
 void Discovery::Call::OnBytes(proto::RingBuffer& in) {
-  silence_.After(kSilence);
+  silence_.After(stands_ ? kSilence : kAnswerWithin);
   while (!in.empty() && !over_) {
     in.Consume(reader_.Feed(in.Front()));
     if (reader_.state() == proto::HttpReader::State::kBad) return Fail();
@@ -108,36 +118,44 @@
 }
 
 void Discovery::Call::OnHead(const proto::HttpHead& head) {
-  if (head.status != 200) Fail();
+  if (head.status != 200) return Fail();
+  stands_ = true;
 }
 
 void Discovery::Call::OnBody(std::string_view bytes) {
   if (over_) return;
-  text_ += bytes;
-  if (text_.size() > kLongestText) return Fail();
-  std::size_t end = 0;
-  while (watch_ && !over_ && (end = text_.find('\n')) != text_.npos) {
-    const std::string line = text_.substr(0, end);
-    text_.erase(0, end + 1);
-    if (line.find_first_not_of(" \r\t") != line.npos && !TakeLine(line)) return Fail();
+  if (!watch_) text_ += bytes;
+  const std::vector<std::string> objects = watch_ ? objects_.Feed(bytes) : std::vector<std::string>();
+  if (std::max(text_.size(), objects_.held()) > kLongestText) return Fail();
+  for (const std::string& object : objects) {
+    if (over_) return;
+    if (!TakeList(object)) return Fail();
   }
 }
 
 void Discovery::Call::OnWhole(bool) {
   if (over_) return;
   // A watch lasts until its connection ends: one that is whole has ended.
-  if (watch_ || !TakeLine(text_)) return Fail();
+  if (watch_ || !TakeList(text_)) return Fail();
   discovery_.Ended(*this, false);
 }
 
-bool Discovery::Call::TakeLine(std::string_view line) {
-  const auto change = ReadList(line, discovery_.names_);
+bool Discovery::Call::TakeList(std::string_view text) {
+  const auto change = ReadList(text, discovery_.names_);
   if (!change) return false;
   discovery_.revision_ = change->revision;
   discovery_.relay_->RoutingChanged(*change);
   return true;
 }
 
+// Where all watches fall silent at one moment, as many relays as there are find it at different ones: each
+// counts from what it heard last. So none needs to hold back, and what is missed is known in time.
+void Discovery::Call::FallSilent() {
+  if (!watch_ || !stands_) return Fail();
+  over_ = true;
+  discovery_.Begin();
+}
+
 void Discovery::Call::Fail() {
   if (!std::exchange(over_, true)) discovery_.Ended(*this, true);
 }
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -25,6 +25,7 @@
   // Discovery is somewhere else now: what is asked for is asked for there, at once.
   void MoveTo(const net::Address& address, std::string host);
 
+  // A watch that stood and falls silent is opened anew at once, without a word to the core.
   void Watch() override;
   void Fetch() override;
   // A watch before the module asks for one, which then is that one.
@@ -47,8 +48,9 @@
     void OnHead(const proto::HttpHead& head) override;
     void OnBody(std::string_view bytes) override;
     void OnWhole(bool keep_alive) override;
-    bool TakeLine(std::string_view line);
+    bool TakeList(std::string_view text);
     void Fail();
+    void FallSilent();
 
     Discovery& discovery_;
     bool watch_;
@@ -56,7 +58,10 @@
     proto::HttpReader reader_;
     std::unique_ptr<net::Connection> connection_;
     net::Timer silence_;
-    std::string request_, text_;
+    std::string request_;
+    std::string text_;     // of a fetch
+    ListStream objects_;   // of a watch
+    bool stands_ = false;  // its answer has begun
   };
 
   void Begin();
--- a/src/routing/list.cpp
+++ b/src/routing/list.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace oxbowspread::routing {
 namespace {
@@ -64,4 +65,26 @@
   }
 }
 
+std::vector<std::string> ListStream::Feed(std::string_view bytes) {
+  std::vector<std::string> whole;
+  for (const char c : bytes) {
+    const bool space = c == ' ' || c == '\t' || c == '\r' || c == '\n';
+    if (text_.empty() && space) continue;
+    text_ += c;
+    if (quoted_) {
+      quoted_ = escaped_ || c != '"';
+      escaped_ = c == '\\' && !escaped_;
+      continue;
+    }
+    quoted_ = c == '"';
+    if (c == '{' || c == '[') depth_ += 1;
+    if (c == '}' || c == ']') depth_ -= 1;
+    const bool closed = c == '}' || c == ']';
+    if (depth_ > 0 || (!closed && c != '\n')) continue;
+    whole.push_back(std::exchange(text_, {}));
+    depth_ = 0;
+  }
+  return whole;
+}
+
 }  // namespace oxbowspread::routing
