--- a/src/acquirer/command.cpp
+++ b/src/acquirer/command.cpp
@@ -60,7 +60,6 @@
   if (!addressed) throw BadCommand("dest is missing");
   CheckPlain("the id", a.id);
   CheckPlain("k", a.key);
-  CheckPlain("c", a.class_name);
   a.body = std::move(command[4]);
   return a;
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -138,6 +138,12 @@
     throw Error("settings", e.what());
   }
   if (c.settings.tick.count() <= 0) c.settings.tick = std::chrono::milliseconds(5);
+  // Between a relay and an endpoint there is one call for each message, and no probe: whatever else the
+  // settings allow, the module must not count on it.
+  c.settings.may_probe = false;
+  for (auto& kind : c.settings.kinds) kind.bundle_max = 1;
+  // All that is delivered in time meets a goal that lies beyond the deadline.
+  for (auto& each : c.settings.classes) each.aim = std::min(each.aim, each.deadline);
   return c;
 }
 
