Pass over lists older than what is known, and count what a restart finds untried

At fault: Discovery::Call::TakeList took any version. What is older is passed over; where nothing else comes for 10 s discovery has begun to count anew, is asked for all (from=0) and believed. New counters: lists_behind; recovered_untried, given_up_untried and returned_early, for the operators' terms on what a restart finds.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,9 @@
   return o != Outcome::kRefused && o != Outcome::kNoConnection && o != Outcome::kNotSent;
 }
 
+// What a message of its class has, from when it was first handed in.
+Time WholeTimeOf(const journal::Authorisation& a) { return a.rules ? a.rules->deadline : Time(0); }
+
 }  // namespace
 
 Relay::Relay(wheathub::Settings settings, std::uint64_t seed, journal::Journal& journal, const Sides& sides,
@@ -113,7 +116,9 @@
       if (message.expires_in <= Time(0)) message.history.may_have_run = true;
       out_[{id, entry.legs - 1}] = {entry.open->host, it->second, true};
     }
-    held_[id] = {sides_.clock.Now() + message.expires_in, entry.legs, message.message_class};
+    const bool untried = entry.legs == 0 && 2 * message.expires_in >= WholeTimeOf(entry.authorisation);
+    counters_.recovered_untried += untried;
+    held_[id] = {sides_.clock.Now() + message.expires_in, entry.legs, message.message_class, untried};
     Queue(message);
   }
   Turn();
@@ -239,7 +244,7 @@
     return false;
   }
   counters_.taken_on += 1;
-  held_[a.id] = {fresh.ends_at, 0, ClassOf(a)};
+  held_[a.id] = {fresh.ends_at, 0, ClassOf(a), false};
   return true;
 }
 
@@ -428,7 +433,16 @@
 // ---- ends ----
 
 void Relay::End(const std::string& id, const journal::Ending& ending) {
-  if (held_.erase(id) == 0) return;
+  const auto it = held_.find(id);
+  if (it == held_.end()) return;
+  if (const journal::Entry* const entry = journal_.Find(id)) {
+    const Time left = it->second.ends_at - sides_.clock.Now();
+    const Time whole = WholeTimeOf(entry->authorisation);
+    counters_.given_up_untried += it->second.untried && entry->legs == 0 && 10 * left > whole;
+    const bool early = 10 * left > 3 * whole;
+    counters_.returned_early += early && !entry->first_risk;
+  }
+  held_.erase(it);
   (ending.deferred ? counters_.deferred : counters_.undeliverable) += 1;
   journal_.End(id, ending);
   sides_.notices.Post(id, ending);
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -95,6 +95,7 @@
     Time ends_at{0};
     int sends = 0;
     int message_class = 0;
+    bool untried = false;  // found so at the start, with half of its time left
   };
   struct Out {
     std::string host;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -14,6 +14,9 @@
 // a new watch.
 constexpr net::Time kSilence = 2800ms;
 constexpr net::Time kAnswerWithin = 3200ms;  // of a call: discovery itself gives one up after less
+// A discovery that lags tells what was: hosts that drain would come back by it. One that stays behind for so
+// long has begun to count anew.
+constexpr net::Time kBehindMost = 10s;
 constexpr std::size_t kLongestText = 4u << 20;
 
 }  // namespace
@@ -25,7 +28,11 @@
       host_(std::move(host)),
       names_(std::move(names)),
       counters_(counters),
-      failed_(loop, [this] { relay_->RoutingFailed(); }) {}
+      failed_(loop, [this] { relay_->RoutingFailed(); }),
+      behind_(loop, [this] {
+        revision_ = 0;
+        if (asked_) Begin();
+      }) {}
 
 void Discovery::Watch() {
   asked_ = true;
@@ -40,6 +47,7 @@
 
 void Discovery::Stop() {
   failed_.Stop();
+  behind_.Stop();
   for (auto* call : {&watch_, &fetch_}) {
     if (*call != nullptr) (*call)->Close();
     loop_.Dispose(std::move(*call));
@@ -62,6 +70,11 @@
   Begin();
 }
 
+void Discovery::FoundBehind() {
+  counters_.lists_behind += 1;
+  if (!behind_.active()) behind_.After(kBehindMost);
+}
+
 void Discovery::Fetch() { Start(fetch_, false, "/discovery/hosts"); }
 
 void Discovery::Start(std::unique_ptr<Call>& call, bool watch, const std::string& path) {
@@ -143,6 +156,11 @@
 bool Discovery::Call::TakeList(std::string_view text) {
   const auto change = ReadList(text, discovery_.names_);
   if (!change) return false;
+  if (change->revision > 0 && change->revision < discovery_.revision_) {
+    discovery_.FoundBehind();
+    return true;
+  }
+  discovery_.behind_.Stop();
   discovery_.revision_ = change->revision;
   discovery_.relay_->RoutingChanged(*change);
   return true;
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -25,7 +25,8 @@
   // Discovery is somewhere else now: what is asked for is asked for there, at once.
   void MoveTo(const net::Address& address, std::string host);
 
-  // A watch that stood and falls silent is opened anew at once, without a word to the core.
+  // A watch that stood and falls silent is opened anew at once, without a word to the core. A list that is
+  // older than what is known is passed over, unless nothing else comes for 10 s.
   void Watch() override;
   void Fetch() override;
   // A watch before the module asks for one, which then is that one.
@@ -65,6 +66,7 @@
   };
 
   void Begin();
+  void FoundBehind();
   void Start(std::unique_ptr<Call>& call, bool watch, const std::string& path);
   void Ended(Call& call, bool failed);
 
@@ -79,6 +81,7 @@
   bool asked_ = false;  // to watch, at any time
   bool ahead_ = false;  // a watch was begun that the module has yet to ask for
   net::Timer failed_;
+  net::Timer behind_;  // runs while all that comes is older than what is known
 };
 
 }  // namespace oxbowspread::routing
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -258,6 +258,7 @@
   }
   watches += 1;
   if (silent) return;
+  if (refusing) return peer.socket.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
   peer.watch = true;
   peer.socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   Chunk(peer.socket, List().dump() + "\n");
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,7 +93,8 @@
   int notices_of_old = 0;  // told at an address that discovery has left
   int watches = 0;
   bool heartbeats = true;
-  bool silent = false;  // discovery takes what is asked, and never answers
+  bool silent = false;    // discovery takes what is asked, and never answers
+  bool refusing = false;  // it answers each call by 503
 
  private:
   struct Peer {
