Let a command that has stopped coming on give way: a flood of halves turned newcomers away

Ruled out: order of accepts and reads (the newcomer was never taken). Now, when nothing else gives way, the command on its way goes that has not come on for longest: what was just taken, has something unread or waits for its answer stays. The search for room sorts once.

--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -158,7 +158,7 @@
   const bool comes = came_at_ > net::Time(0) && now - came_at_ <= kComesOnWithin;
   if (!asked_ && !comes && now - quiet_since_ > kAsksWithin) return Claim::kNone;
   if (idle()) return asked_ ? Claim::kIdle : Claim::kNew;
-  return Claim::kServed;
+  return waiting_ ? Claim::kServed : Claim::kBegun;
 }
 
 Passed Client::passed() const {
@@ -222,7 +222,7 @@
   // Room is kept before it runs out: the platform's clients open no more than their share, so one who stays
   // and asks nothing keeps another from asking long before this side's own limit is reached.
   if (clients_.size() >= most_ / 2) MakeRoom(Client::Claim::kIdle);
-  if (clients_.size() >= most_ && !MakeRoom(Client::Claim::kNew)) {
+  if (clients_.size() >= most_ && !MakeRoom(Client::Claim::kBegun)) {
     counters_.clients_turned_away += 1;
     close(fd);
     return;
@@ -234,26 +234,23 @@
 }
 
 // A flood must not crowd out those who ask: first go connections that have not asked for long, then idle
-// ones, whose clients come again when they need to; never one whose command is on its way or waits for its
-// answer.
+// ones, whose clients come again when they need to; of commands on their way the one that has not come on for
+// longest; never one that waits for its answer.
 bool Acquirers::MakeRoom(Client::Claim most) {
   const net::Time now = net::Loop::Now();
   std::vector<std::tuple<Client::Claim, net::Time, Client*>> all;
   for (const auto& [client, owned] : clients_) {
     const Client::Claim claim = client->claim(now);
-    if (claim <= most) all.emplace_back(claim, client->quiet_since(), client);
+    if (claim <= most) all.emplace_back(claim, client->claim_since(), client);
   }
   // One whose next command has just come, unread so far, is no longer idle.
   const auto stays = [](const auto& c) {
     return std::get<0>(c) != Client::Claim::kNone && !std::get<2>(c)->quiet();
   };
-  Client* least = nullptr;
-  while (least == nullptr && !all.empty()) {
-    const auto first = std::min_element(all.begin(), all.end());
-    if (!stays(*first)) least = std::get<2>(*first);
-    all.erase(first);
-  }
-  if (least == nullptr) return false;
+  std::sort(all.begin(), all.end());
+  const auto first = std::find_if_not(all.begin(), all.end(), stays);
+  if (first == all.end()) return false;
+  Client* const least = std::get<2>(*first);
   counters_.clients_evicted += 1;
   counters_.clients_evicted_unasked += least->claim(now) != Client::Claim::kIdle;
   least->Close();
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -33,10 +33,11 @@
   bool TakenOn() override;
   void Refused(relay::Time come_again) override;
   bool idle() const { return !waiting_ && parser_.idle(); }
-  // To its descriptor when others need one, the least first.
-  enum class Claim { kNone, kIdle, kNew, kServed };
+  // To its descriptor when others need one, the least first. kBegun: a command that is on its way.
+  enum class Claim { kNone, kIdle, kNew, kBegun, kServed };
   Claim claim(net::Time now) const;
-  net::Time quiet_since() const { return quiet_since_; }
+  // Since when it has had that claim, so that of two alike the earlier one goes.
+  net::Time claim_since() const { return idle() ? quiet_since_ : came_at_; }
   // Nothing has come that is not looked at.
   bool quiet() const { return connection_.Quiet(); }
   void Close() { connection_.Close(); }
