Record an answer that comes with the very end of the process, and hold crossings of endpoints

Seen (endpoint_crossing_test): a relay that stood still past its last look, with an answer come meanwhile, ended without reading it: its message was called again by the next process. At fault: after a stop of the process libev calls timers before reads (epoll_wait is interrupted), and Look ended at kStopAt. It reads what is there first (Issuer::ReadNow); the test fails without.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -212,10 +212,16 @@
     if (empty || since >= kSettleAt) phases_.Enter(Phase::kSettling);
     // What a client has begun is answered, and its answer reaches it: both take no longer than it does.
     const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0 && acquirers_->clients() == 0;
-    if (settled || since >= kStopAt) return phases_.Enter(Phase::kStopped);
+    if (settled || since >= kStopAt) return End();
     step_.After(kLookEach);
   }
 
+  // An answer that has come by now is on record: after a stop of the process timers are called before reads.
+  void End() {
+    issuer_.ReadNow();
+    phases_.Enter(Phase::kStopped);
+  }
+
   // An operator's drain: clients leave as at the end, but nothing hurries what is held.
   void LookPaused(net::Time since) {
     const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
@@ -277,7 +283,7 @@
   }
   void LookGiven() {
     const bool late = end_by_ > net::Time(0) && net::Loop::Now() >= end_by_;
-    if (late || relay_.out() == 0) return phases_.Enter(Phase::kStopped);
+    if (late || relay_.out() == 0) return End();
     step_.After(kLookEach);
   }
 
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -58,6 +58,15 @@
   for (const relay::HostWait& wait : waits) hosts_.TakeWait(wait);
 }
 
+void Issuer::ReadNow() {
+  std::vector<relay::LegId> legs;
+  for (const auto& [leg, line] : out_) legs.push_back(leg);
+  for (const relay::LegId& leg : legs) {
+    const auto it = out_.find(leg);
+    if (it != out_.end()) it->second->ReadNow();
+  }
+}
+
 void Issuer::CloseAllIdle() {
   while (!idle_.empty()) Remove(*idle_.begin()->second);
 }
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -35,6 +35,8 @@
   std::vector<relay::HostWait> Waits() const;
   void TakeWaits(const std::vector<relay::HostWait>& waits);
   void ToldWait(const std::string& host, net::Time wait) { hosts_.ToldWait(host, wait, net::Loop::Now()); }
+  // Takes at once what has come of answers to calls that are out.
+  void ReadNow();
   // No line rests here any more; those with calls go on.
   void CloseAllIdle();
 
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/ioctl.h>
@@ -81,6 +82,8 @@
   setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
 }
 
+void Socket::Segment(int most) const { setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &most, sizeof most); }
+
 void Socket::Reset() {
   const linger hard{1, 0};
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -34,6 +34,7 @@
   int port() const;
   void Close();
   void Narrow(int receive_buffer) const;  // of what it accepts
+  void Segment(int most) const;           // bytes in a segment to what it accepts: less is on its way
   void Reset();                           // closes with a reset
   void Send(const std::string& bytes) const;
   void UntilTaken() const;  // until the other side's system has all that was sent
