End a relay that is still starting like any other, and stop it between two system calls in tests

At fault: only SIGHUP and SIGUSR1 were held back until their watchers stand. SIGTERM and SIGINT are now too, but for a process that waits for what another gives over, which holds nothing and ends at once.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -483,6 +483,10 @@
   try {
     options.argv = argv;
     const config::Config c = config::FromEnvironment();
+    // An end asked for from here on is one like any other; a process that waits for what another gives over
+    // ends at once.
+    if (c.listen_fd < 0) net::Signal::HoldBack(SIGTERM);
+    if (c.listen_fd < 0) net::Signal::HoldBack(SIGINT);
     Program(c, options, TakeStart(c)).Run();
   } catch (const journal::FolderLocked& e) {
     std::cerr << "oxbowspread: " << e.what() << "\n";
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -86,6 +86,8 @@
 
   // Serves until it holds, or fails the test.
   void Until(const std::function<bool()>& holds, std::chrono::milliseconds limit = 8s);
+  // One round of it.
+  void ServeFor(std::chrono::milliseconds limit) { Serve(limit); }
   nlohmann::json NoticeOf(const std::string& id);
 
   std::map<std::string, nlohmann::json> notices;  // by id
