Keep what a restart finds: not shed for room, and no second token for a repeat already paid

Seen: a relay restarted with a full table gave up untried messages at once (restart_crossing_test: with max-open lowered to 10, 30 of 39 ended with no call; at the same limit 4 of 39), and of nine refused messages a restart ended four, since each took a token again. At fault: Decider::Hold put them among what Shed gives up for newcomers; Restore drew a second token for a repeat whose token had been drawn as its refusal came (RepeatOrEnd in the earlier life). Ruled out: the window and the effect of what may have run, which draws as before (History test). Now History says that a message is kept, and one that surely never ran is taken up as paid. Both module tests and the relay's fail without. Also held: hundreds untried, windows shorter than a restart, effects after a restart, a full disk.

--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -133,8 +133,9 @@
   std::vector<EndpointInfo> endpoints;
 };
 
-struct History {  // of a message that an earlier life of this sender took on; nothing for a new one
-  int sends = 0;
+struct History {      // of a message that an earlier life of this sender took on; nothing for a new one
+  bool kept = false;  // there is one: it is not given up for room that others want
+  int sends = 0;      // ended, but for one that is out; one that surely never ran has its next send paid
   bool may_have_run = false;
   Time since_risk{0};  // since the send of the first attempt that may have run, and its zone
   int risk_zone = 0;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -327,7 +327,7 @@
     p.late = now_ >= LateAt(p);
     p.order = {Standing(p), p.seq};
     SetAlarm(p.alarm, p.late ? UnsentUntil(p) : std::min(LateAt(p), UnsentUntil(p)), &p);
-    if (!p.may_have_run) sheddable_.emplace(p.ShedOrder(), &p);
+    if (!p.may_have_run && !p.m.history.kept) sheddable_.emplace(p.ShedOrder(), &p);
     Enqueue(p);
   }
   // Too late for its aim: what can still be in time goes first. Helps when more comes than can go: a queue by
@@ -814,7 +814,7 @@
     if (Ordered(m)) keys_[m.key].line.push_back(m.id);
     m.history.sends > 0 ? Restore(p) : Hold(p);
   }
-  // Sent by an earlier life: the same rules, and its next send is a repeat that costs a token.
+  // Sent by an earlier life: the same rules. Its repeat costs a token, but for one that has drawn it already.
   void Restore(Pending& p) {
     const History& h = p.m.history;
     p.sends = h.sends;
@@ -832,7 +832,7 @@
       SetAlarm(call.alarm, std::max(now_, call.sent_at + call.allowed), &call);
       return actions_.pop_back();
     }
-    RepeatOrEnd(p, last == endpoints_.end() ? unlisted : *last->second.route);
+    RepeatOrEnd(p, last == endpoints_.end() || !h.may_have_run ? unlisted : *last->second.route);
   }
   void On(const Withdrawn& w) {
     const auto it = messages_.find(w.id);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -112,6 +112,7 @@
     }
     counters_.recovered += 1;
     wheathub::Message message = MessageOf(entry);
+    message.history.kept = true;
     if (const auto it = out.find(id); it != out.end() && entry.open) {
       message.history.out = true;
       message.history.since_sent = sides_.clock.Now() - it->second;
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -87,5 +87,41 @@
   EXPECT_EQ(rig.sent.size(), 5u);
 }
 
+// The token of a refused message was drawn as the refusal came: a restart must not take another, and give up
+// what it can't pay.
+TEST(History, WhatNeverRanHasItsRepeatPaid) {
+  Rig rig;
+  rig.List({At("a", 7)});
+  std::vector<Event> events;
+  for (int i = 0; i < 9; ++i) {
+    Message m = Restored(rig, 0, {.kept = true, .sends = 1, .last_endpoint = "a"});
+    m.id += std::to_string(i);
+    events.push_back(m);
+  }
+  rig.Do(events);
+  EXPECT_TRUE(rig.refused.empty());
+  EXPECT_EQ(rig.decider.held().messages, 9u);
+}
+
+// Near max_open new messages are refused for room; what an earlier life took on is tried all the same.
+TEST(History, WhatWasTakenOnIsNotShedForRoom) {
+  Settings s = BasicSettings();
+  s.max_open = 10;
+  s.slots = 1;
+  for (const bool kept : {false, true}) {
+    Rig rig(s);
+    rig.List({At("a", 7)});
+    std::vector<Event> events;
+    for (int i = 0; i < 30; ++i) {
+      Message m = Restored(rig, 0, {.kept = kept});
+      m.id += std::to_string(i);
+      events.push_back(m);
+    }
+    rig.Do(events);
+    EXPECT_EQ(rig.refused.empty(), kept);
+    EXPECT_EQ(rig.decider.held().messages, kept ? 30u : 9u);
+  }
+}
+
 }  // namespace
 }  // namespace wheathub::testing
--- /dev/null
+++ b/tests/relay/restart_crossing_test.cpp
@@ -0,0 +1,208 @@
+// What a restart finds: hundreds untried, some that may have run, ends that are owed, a full table, a full
+// disk.
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "crossing.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+struct Restart : Crossing {
+  std::vector<Client> clients;
+
+  nlohmann::json& settings() { return relay.config["settings"]; }
+  nlohmann::json& message_class() { return settings()["services"][0]; }
+  // Hands in so many messages to that destination, all at once, and waits until they are taken on.
+  void Put(int messages, int cell, int ms = 16000) {
+    std::string all;
+    for (int i = 0; i < messages; ++i) {
+      const std::string id = "m-" + std::to_string(cell) + "-" + std::to_string(i);
+      all += Client::PutText(id, "hello", ms, ",k=key-" + id + ",dest=" + std::to_string(cell));
+    }
+    clients.emplace_back(relay);
+    clients.back().socket().Send(all);
+    for (int i = 0; i < messages; ++i) REQUIRE(clients.back().Line() == "+OK");
+  }
+  void Kill() {
+    clients.clear();
+    relay.Signal(SIGKILL);
+    CHECK(relay.WaitForEnd() == -SIGKILL);
+  }
+  long Count(const char* counter) {
+    Client client(relay);
+    return client.Counters()[counter];
+  }
+};
+
+TEST_CASE("hundreds of untried messages: ready within a second, each tried, no limit or slot flooded") {
+  Restart r;
+  constexpr int kPartners = 10, kEach = 30;
+  r.settings()["limits"]["max-open"] = 400;
+  r.settings()["family-info"]["calls-out"] = 8;
+  for (int cell = 100; cell < 100 + kPartners; ++cell) {
+    r.world.AddHost("h" + std::to_string(cell), cell);
+    r.world.Stop("h" + std::to_string(cell));  // nobody is there: none can be tried
+  }
+  r.relay.Start();
+  for (int cell = 100; cell < 100 + kPartners; ++cell) r.Put(kEach, cell);
+  r.Kill();
+  for (int cell = 100; cell < 100 + kPartners; ++cell) r.world.AddHost("h" + std::to_string(cell), cell);
+  const auto begun = Clock::now();
+  r.relay.Start();
+  CHECK(Clock::now() - begun < 1s);
+  // All calls stay open until none comes any more: so many are out at once.
+  std::map<std::string, int> tried;
+  std::map<int, int> out_at;
+  std::vector<HttpRequest> open;
+  int most = 0;
+  const auto taken = [&] {
+    while (r.world.CallWithin(0ms)) {
+      open.push_back(r.world.NextCall());
+      tried[open.back().id()] += 1;
+      most = std::max(most, static_cast<int>(open.size()));
+    }
+  };
+  const auto until = Clock::now() + 12s;
+  while (tried.size() < kPartners * kEach && Clock::now() < until) {
+    r.world.CallWithin(20ms);
+    taken();
+    for (const HttpRequest& call : std::exchange(open, {})) r.world.Answer(call, "200 OK");
+  }
+  CHECK(most <= 8);
+  Client client(r.relay);
+  r.UntilCount(client, "delivered", static_cast<long>(tried.size()));
+  auto counters = client.Counters();
+  INFO("tried " << tried.size() << " untried " << counters["recovered_untried"] << " recovered "
+                << counters["recovered"]);
+  CHECK(counters["recovered"] >= kPartners * kEach * 8 / 10);
+  CHECK(counters["given_up_untried"] == 0);
+  CHECK(static_cast<long>(tried.size()) == counters["recovered"]);
+  for (const auto& [id, times] : tried) CHECK(times == 1);
+}
+
+// A window counts from the first attempt that may have run, whichever process began it.
+TEST_CASE("a message whose window is over when the relay is back is ended, and never sent again") {
+  Restart r;
+  r.message_class()["repeat-window-s"] = 0.5;
+  r.relay.Start();
+  r.Put(1, 7);
+  r.world.NextCall();
+  const auto sent = Clock::now();
+  r.Kill();
+  r.Pass(sent + 520ms - Clock::now());
+  r.relay.Start();
+  CHECK(r.world.NoticeOf("m-7-0").at("status") == "undeliverable");
+  CHECK(r.Count("legs") == 0);
+}
+
+TEST_CASE("a window that ends while a repeat is still connecting stops it") {
+  Restart r;
+  Narrow narrow(r.world, "narrow", 8);
+  r.message_class()["repeat-window-s"] = 0.7;
+  r.settings()["limits"]["connect-timeout-s"] = 5;
+  r.relay.Start();
+  r.Put(1, 8);
+  Socket first = narrow.listener.Accept(5s);
+  REQUIRE(first.Receive(5s).find("m-8-0") != std::string::npos);
+  narrow.Fill();
+  first.Reset();  // it may have run
+  r.world.Until([&] { return r.Count("legs") == 2; });
+  const Socket late = narrow.AcceptLate();  // the system asks again after 1 s
+  REQUIRE(late.fd() >= 0);
+  CHECK(r.world.NoticeOf("m-8-0").at("status") == "undeliverable");
+  CHECK(late.Receive(0ms).empty());
+}
+
+TEST_CASE("what may have run goes by its effect after a restart, and what was delivered is over") {
+  struct Effect {
+    const char* name;
+    bool again;
+  };
+  for (const Effect& effect : {Effect{"idempotent", true}, {"at_most_once", false}, {"deduplicated", true}}) {
+    INFO(effect.name);
+    Restart r;
+    r.message_class()["semantics"] = effect.name;
+    r.relay.Start();
+    r.Put(2, 7);
+    const HttpRequest served = r.world.NextCall(), out = r.world.NextCall();
+    r.world.Answer(served, "200 OK");
+    r.UntilCount(r.clients.back(), "delivered", 1);
+    r.Kill();
+    r.relay.Start();
+    CHECK(r.Count("recovered") == 1);
+    if (effect.again) {
+      const HttpRequest call = r.world.NextCall();
+      CHECK(call.id() == out.id());
+      r.world.Answer(call, "200 OK");
+      r.world.Until([&] { return r.Count("delivered") == 1; });
+    } else {
+      CHECK(r.world.NoticeOf(out.id()).at("status") == "undeliverable");
+    }
+    CHECK(r.Count("legs") == (effect.again ? 1 : 0));
+    CHECK(r.world.notices.count(served.id()) == 0);
+  }
+}
+
+// Guards against a relay that gives up what it has just found for room that nobody has asked for.
+TEST_CASE("a table that is full at the restart, or too small by now, is kept and tried") {
+  for (const int most_now : {39, 10}) {
+    INFO(most_now);
+    Restart r;
+    r.settings()["limits"]["max-open"] = 43;  // near its end what is new gives way
+    r.settings()["family-info"]["calls-out"] = 4;
+    r.world.AddHost("b", 8);
+    r.relay.Start();
+    r.Put(20, 7);
+    r.Put(19, 8);
+    // Four calls are out, and nobody answers them.
+    for (int i = 0; i < 4; ++i) r.world.NextCall();
+    r.Kill();
+    r.settings()["limits"]["max-open"] = most_now;
+    r.relay.Start();
+    std::set<std::string> tried;
+    r.world.Until([&] {
+      while (r.world.CallWithin(0ms)) {
+        const HttpRequest call = r.world.NextCall();
+        tried.insert(call.id());
+        r.world.Answer(call, "200 OK");
+      }
+      return r.Count("held") == 0;
+    });
+    CHECK(r.Count("given_up_untried") == 0);
+    CHECK(tried.size() == 39);
+  }
+}
+
+TEST_CASE(
+    "a disk that is full at the restart: nothing crashes, and a next one with room tries what is owed") {
+  Restart r;
+  r.relay.Start();
+  r.Put(5, 7);
+  for (int i = 0; i < 5; ++i) r.world.NextCall();
+  r.Kill();
+  const auto size = std::filesystem::file_size(r.relay.state() + "/journal");
+  r.relay.in_child = [size] {
+    signal(SIGXFSZ, SIG_IGN);
+    const rlimit full{size, size};
+    setrlimit(RLIMIT_FSIZE, &full);
+  };
+  r.relay.Start();
+  Client client(r.relay);
+  CHECK(client.Ask(Client::PutText("more", std::string(60'000, 'x'), 8000, ",k=k,dest=7")).substr(0, 5) ==
+        "-BUSY");
+  CHECK(client.Counters()["recovered"] == 5);
+  r.Kill();
+  r.relay.in_child = nullptr;
+  r.relay.Start();
+  std::set<std::string> tried;
+  for (int i = 0; i < 5; ++i) tried.insert(r.world.NextCall().id());
+  CHECK(tried.size() == 5);
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
