--- /dev/null
+++ b/tests/relay/client_crossing_test.cpp
@@ -0,0 +1,228 @@
+// Clients at moments that seldom come: half a request as the relay is told to end, a close at the cap on
+// connections, and floods beside which others are served.
+#include <catch2/catch.hpp>
+#include <fstream>
+
+#include "crossing.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+std::string Put(const std::string& id) {
+  return Client::PutText(id, "hello", 8000, ",k=key-" + id + ",dest=7");
+}
+const char* const kPing = "*1\r\n$4\r\nPING\r\n";
+bool Answered(const std::string& line) { return line == "+OK" || line.substr(0, 5) == "-BUSY"; }
+
+// Resident memory of the process, in MB.
+double ResidentMb(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::stod(line.substr(6)) / 1024;
+  }
+  return 0;
+}
+
+TEST_CASE("SIGTERM with half a request read: it is answered once it is whole, early and at the last sends") {
+  Crossing c;
+  c.relay.Start();
+  const std::string whole = Put("early"), late = Put("late");
+  Client hung(c.relay), first(c.relay), second(c.relay);
+  hung.Put("hung");
+  REQUIRE(hung.Line() == "+OK");
+  c.world.NextCall();
+  first.socket().Send(whole.substr(0, whole.size() / 2));
+  first.socket().UntilTaken();
+  REQUIRE(second.Ask(kPing) == "+PONG");
+  c.relay.Signal(SIGTERM);
+  c.relay.UntilLog("draining");
+  first.socket().Send(whole.substr(whole.size() / 2));
+  CHECK(first.Line() == "+OK");
+  c.world.Answer(c.world.NextCall(), "200 OK");
+  c.Pass(1500ms);
+  second.socket().Send(late.substr(0, 20));
+  c.relay.UntilLog("settling");
+  second.socket().Send(late.substr(20));
+  // Nothing new is sent by now: whoever is not taken on hears so, and its connection is ended, not reset.
+  CHECK(second.Line().substr(0, 5) == "-BUSY");
+  bool ended = false;
+  int error = 0;
+  c.world.Until([&] {
+    second.socket().Receive(0ms, &ended, &error);
+    return ended;
+  });
+  CHECK(error == 0);
+  CHECK(c.relay.WaitForEnd() == 0);
+  CHECK_FALSE(c.world.CallWithin(0ms));
+}
+
+// From SIGTERM to SIGKILL, whatever the moment: what was answered +OK is delivered by one process or the
+// next.
+TEST_CASE(
+    "SIGTERM, requests on every open connection, SIGKILL: what was taken on is delivered or tried again") {
+  for (const auto alive : {100ms, 900ms, 2500ms}) {
+    INFO(alive.count());
+    Crossing c;
+    c.relay.Start();
+    std::vector<Client> clients;
+    for (int i = 0; i < 8; ++i) {
+      clients.emplace_back(c.relay);
+      REQUIRE(clients.back().Ask(kPing) == "+PONG");
+    }
+    c.relay.Signal(SIGTERM);
+    c.relay.UntilLog("draining");
+    std::set<std::string> taken, delivered;
+    const auto answer_calls = [&] {
+      while (c.world.CallWithin(0ms)) {
+        const HttpRequest call = c.world.NextCall();
+        delivered.insert(call.id());
+        c.world.Answer(call, "200 OK");
+      }
+    };
+    const auto until = Clock::now() + alive;
+    for (int round = 0; Clock::now() < until; ++round) {
+      for (std::size_t i = 0; i < clients.size(); ++i) {
+        const std::string id = std::to_string(round) + "-" + std::to_string(i);
+        clients[i].socket().Send(Put(id));
+        const std::string line = clients[i].Line();
+        REQUIRE(Answered(line));
+        if (line == "+OK") taken.insert(id);
+      }
+      answer_calls();
+    }
+    // These are on their way, read or not, when the process dies.
+    for (std::size_t i = 0; i < clients.size(); ++i)
+      clients[i].socket().Send(Put("last-" + std::to_string(i)));
+    c.relay.Signal(SIGKILL);
+    CHECK(c.relay.WaitForEnd() == -SIGKILL);
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      if (clients[i].Line() == "+OK") taken.insert("last-" + std::to_string(i));
+    }
+    clients.clear();
+    c.relay.Start();
+    c.world.Until([&] {
+      answer_calls();
+      Client watcher(c.relay);
+      return watcher.Counters()["held"] == 0;
+    });
+    answer_calls();
+    for (const std::string& id : taken) CHECK(delivered.count(id) == 1);
+    // Calls whose answers the kill met may have run, and are repeated while the budget lasts; no other is
+    // ended.
+    for (const auto& [id, notice] : c.world.notices) CHECK(delivered.count(id) == 1);
+  }
+}
+
+// At the cap the one that rests gives way, and what it was answered has reached it.
+TEST_CASE(
+    "a client that is closed for others has had its answer, and a request that crosses is not sent on") {
+  Crossing c;
+  c.relay.config["limits"]["sockets"] = 64;  // 19 clients
+  c.relay.Start();
+  Client rests(c.relay), watcher(c.relay);
+  rests.Put("id-1");
+  rests.socket().UntilTaken();
+  // Its answer stands unread in the client's system meanwhile.
+  c.world.Answer(c.world.NextCall(), "200 OK");
+  c.UntilCount(watcher, "delivered", 1);
+  std::vector<Client> others;
+  c.world.Until([&] {
+    others.emplace_back(c.relay);
+    REQUIRE(others.back().Ask(kPing) == "+PONG");
+    return watcher.Counters()["clients_evicted"] >= 1;
+  });
+  rests.Put("id-2");
+  CHECK(rests.Line() == "+OK");
+  CHECK(rests.Line().empty());  // closed: the second was read by nobody, and is the client's to repeat
+  const long asked = watcher.Counters()["authorisations"];
+  CHECK(asked == 1);
+  CHECK_FALSE(c.world.CallWithin(0ms));
+  Client again(c.relay);
+  again.Put("id-2");
+  CHECK(again.Line() == "+OK");
+  CHECK(c.world.NextCall().id() == "id-2");
+}
+
+TEST_CASE(
+    "one client that sends thousands of requests at once and goes costs others nothing, time after time") {
+  Crossing c;
+  c.relay.environment["ASAN_OPTIONS"] = "quarantine_size_mb=1:malloc_context_size=2";
+  c.relay.Start();
+  Client good(c.relay);
+  REQUIRE(good.Ask(kPing) == "+PONG");
+  double first_mb = 0, last_mb = 0;
+  for (int round = 0; round < 8; ++round) {
+    std::string all;
+    for (int i = 0; i < 2000; ++i) all += Put(std::to_string(round) + "-" + std::to_string(i));
+    Socket flood = Socket::Connect(c.relay.port());
+    flood.Send(all.substr(0, 200'000));
+    for (int i = 0; i < 5; ++i) {
+      const auto asked = Clock::now();
+      CHECK(good.Ask(kPing) == "+PONG");
+      CHECK(Clock::now() - asked < 400ms);
+    }
+    flood.Reset();
+    // What it was told +OK, or not, by then is held or not; nothing of it waits for a client that has gone.
+    c.world.Until([&] {
+      while (c.world.CallWithin(0ms)) c.world.Answer(c.world.NextCall(), "200 OK");
+      return good.Counters()["held"] == 0;
+    });
+    last_mb = ResidentMb(c.relay.pid());
+    if (round == 3) first_mb = last_mb;
+  }
+  INFO(first_mb << " MB after four rounds, " << last_mb << " MB after eight");
+  CHECK(last_mb < first_mb + 4);
+  good.Put("mine");
+  CHECK(good.Line() == "+OK");
+  CHECK(c.world.NextCall().id() == "mine");
+}
+
+TEST_CASE("a request that comes byte by byte is ended within 3 s, and one who asks beside it is served") {
+  Crossing c;
+  c.relay.Start();
+  Client drip(c.relay);
+  const std::string whole = Put("drip");
+  const auto begun = Clock::now();
+  std::size_t sent = 0;
+  std::string said;
+  c.world.Until([&] {
+    const auto due = static_cast<std::size_t>((Clock::now() - begun) / 200ms) + 1;
+    while (sent < due && sent < whole.size()) drip.socket().Send(whole.substr(sent++, 1));
+    said += drip.socket().Receive(0ms);
+    return !said.empty();
+  });
+  CHECK(said.substr(0, 4) == "-ERR");
+  CHECK(Clock::now() - begun < 3s);
+  CHECK(Clock::now() - begun > 2s);  // slow but honest ones take 2 s
+  Client good(c.relay);
+  CHECK(good.Ask(kPing) == "+PONG");
+}
+
+TEST_CASE("clients that come again at once after -BUSY are answered each time, and others are served") {
+  Crossing c;
+  c.relay.config["settings"]["limits"]["max-open"] = 1;
+  c.relay.Start();
+  Client holder(c.relay), good(c.relay);
+  holder.Put("held");
+  REQUIRE(holder.Line() == "+OK");
+  const HttpRequest call = c.world.NextCall();
+  std::vector<Client> eager;
+  for (int i = 0; i < 20; ++i) eager.emplace_back(c.relay);
+  for (int round = 0; round < 50; ++round) {
+    for (std::size_t i = 0; i < eager.size(); ++i) {
+      eager[i].socket().Send(Put(std::to_string(round) + "-" + std::to_string(i)));
+    }
+    for (Client& client : eager) REQUIRE(client.Line().substr(0, 6) == "-BUSY ");
+    const auto asked = Clock::now();
+    CHECK(good.Ask(kPing) == "+PONG");
+    CHECK(Clock::now() - asked < 400ms);
+  }
+  CHECK(good.Counters()["busy_full"] == 1000);
+  c.world.Answer(call, "200 OK");
+  c.UntilCount(good, "delivered", 1);
+  eager.front().Put("now");
+  CHECK(eager.front().Line() == "+OK");
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
