--- a/src/acquirer/acquirer.cpp
+++ b/src/acquirer/acquirer.cpp
@@ -91,7 +91,7 @@
 
 void Client::Put(std::vector<std::string> command) {
   try {
-    journal::Authorisation a = ReadPut(std::move(command), net::Loop::UnixNow());
+    journal::Message a = ReadPut(std::move(command), net::Loop::UnixNow());
     if (!all_.relay_.KnowsClass(a.class_name)) throw BadCommand("c names no class of the settings");
     if (a.key.empty() && all_.relay_.NeedsKey(a.class_name)) throw BadCommand("k is missing");
     if (!all_.relay_.KnowsDestination(a.destination)) throw BadCommand("dest names no partner of the list");
--- a/src/acquirer/acquirer.hpp
+++ b/src/acquirer/acquirer.hpp
@@ -1,4 +1,4 @@
-// The acquirer side: clients that hand in authorisations over RESP2, and what they are answered.
+// The acquirer side: clients that hand in messages over RESP2, and what they are answered.
 #pragma once
 
 #include <functional>
--- a/src/acquirer/command.cpp
+++ b/src/acquirer/command.cpp
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-journal::Authorisation ReadPut(std::vector<std::string> command, journal::Time now) {
+journal::Message ReadPut(std::vector<std::string> command, journal::Time now) {
   if (command.size() != 5) throw BadCommand("MSG.PUT takes a key, an id, names and values, and a body");
-  journal::Authorisation a;
+  journal::Message a;
   a.id = command[2];
   if (a.id.empty()) throw BadCommand("the id is empty");
   bool timed = false, addressed = false;
--- a/src/acquirer/command.hpp
+++ b/src/acquirer/command.hpp
@@ -15,6 +15,6 @@
 };
 
 // MSG.PUT zeros id names-and-values body. `now` is Unix time. Throws BadCommand.
-journal::Authorisation ReadPut(std::vector<std::string> command, journal::Time now);
+journal::Message ReadPut(std::vector<std::string> command, journal::Time now);
 
 }  // namespace oxbowspread::acquirer
--- a/src/apps/oxbowfloor.cpp
+++ b/src/apps/oxbowfloor.cpp
@@ -21,7 +21,7 @@
 
 using namespace oxbowspread;
 
-constexpr std::size_t kRecord = 48;  // of a leg's begin, and of an end
+constexpr std::size_t kRecord = 48;  // of an attempt's begin, and of an end
 constexpr off_t kMostFile = 2'000'000;
 
 class Floor;
@@ -81,7 +81,7 @@
   }
 
   void Put(std::vector<std::string> command, Client& from) {
-    const journal::Authorisation a = acquirer::ReadPut(std::move(command), net::Loop::UnixNow());
+    const journal::Message a = acquirer::ReadPut(std::move(command), net::Loop::UnixNow());
     Write(a.body.size() + 100);
     from.Say("+OK\r\n");
     Write(kRecord);
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -87,7 +87,7 @@
         journal_(c.state, c.disk_bytes, start_.StillOut()),
         clock_(loop_),
         issuer_(loop_, LimitsOf(c), counters_),
-        legs_(
+        attempts_(
             loop_, issuer_,
             [this](const std::string& host, relay::Time wait) { issuer_.ToldWait(host, wait); },
             [this](const std::string& word, const std::string& argument) {
@@ -95,7 +95,7 @@
             }),
         discovery_(loop_, discovery_address_, c.discovery, NamesOf(c), counters_),
         notices_(loop_, discovery_address_, c.discovery, counters_),
-        relay_(c.settings, c.seed, journal_, {clock_, legs_, discovery_, notices_}, counters_),
+        relay_(c.settings, c.seed, journal_, {clock_, attempts_, discovery_, notices_}, counters_),
         end_(loop_, SIGTERM, [this] { AskedToEnd(); }),
         interrupt_(loop_, SIGINT, [this] { AskedToEnd(); }),
         report_(loop_, SIGUSR1, [this] { Report(); }),
@@ -103,7 +103,7 @@
         step_(loop_, [this] { Look(); }) {
     clock_.Attach(relay_);
     issuer_.Attach(relay_);
-    legs_.Attach(relay_);
+    attempts_.Attach(relay_);
     discovery_.Attach(relay_);
     notices_.Attach(relay_);
     counters_.journal_cut_bytes = journal_.cut_bytes();
@@ -150,7 +150,7 @@
         known.scope = wheathub::ListScope::kRemembered;
         const bool taken = start_.channel.has_value();
         discovery_.Known(taken ? start_.estate.table.revision : known.revision);
-        if (taken) legs_.TakeOver(std::move(*start_.channel), start_.estate.out);
+        if (taken) attempts_.TakeOver(std::move(*start_.channel), start_.estate.out);
         relay_.Recover(known, taken ? &start_.estate : nullptr);
         issuer_.TakeWaits(start_.estate.waits);
         // Lists that are pushed come on a watch too, which nothing asks for but this.
@@ -158,9 +158,9 @@
         if (taken) {
           if (config_.settings.list_must_be_asked_for) discovery_.WatchAhead();
           std::cout << config_.name << ": took over " << start_.clients.size() << " clients and "
-                    << start_.estate.out.size() << " legs that go on in the old process" << std::endl;
+                    << start_.estate.out.size() << " attempts that go on in the old process" << std::endl;
         }
-        std::cout << config_.name << ": " << counters_.recovered << " authorisations and "
+        std::cout << config_.name << ": " << counters_.recovered << " messages and "
                   << counters_.recovered_notices << " notices owed, " << journal_.cut_bytes()
                   << " torn bytes cut" << std::endl;
         break;
@@ -259,7 +259,7 @@
   std::vector<acquirer::Passed> Clients() const override { return acquirers_->passed(); }
   int LockFd() const override { return start_.lock->fd(); }
   void Given() override {
-    relay_.Given([this](const std::string& id, const relay::LegEnd& end) { old_->Tell(id, end); });
+    relay_.Given([this](const std::string& id, const relay::AttemptEnd& end) { old_->Tell(id, end); });
     acquirers_.reset();
     discovery_.Stop();
     notices_.Stop();
@@ -268,7 +268,7 @@
     start_.lock->Release();
     phases_.Enter(Phase::kGiven);
   }
-  void CutLeg(const std::string& id) override { relay_.CutGiven(id); }
+  void CutAttempt(const std::string& id) override { relay_.CutGiven(id); }
   // Nobody serves any more, unless the platform wanted this process to end: it begins anew, from the journal.
   void Orphaned() override {
     if (end_by_ > net::Time(0)) return;
@@ -348,7 +348,7 @@
                             {"held", relay_.held()},
                             {"out", relay_.out()}};
     const relay::Counters& c = counters_;
-    status["counters"] = {{"authorisations", c.authorisations},
+    status["counters"] = {{"authorisations", c.messages},
                           {"taken_on", c.taken_on},
                           {"busy", c.busy_by_module + c.busy_full + c.busy_journal},
                           {"delivered", c.delivered},
@@ -408,7 +408,7 @@
   journal::Journal journal_;
   WallClock clock_;
   issuer::Issuer issuer_;
-  handover::Legs legs_;
+  handover::Attempts attempts_;
   routing::Discovery discovery_;
   notice::Poster notices_;
   relay::Relay relay_;
--- a/src/handover/giver.cpp
+++ b/src/handover/giver.cpp
@@ -21,7 +21,7 @@
     return {{Yours(), -1}};
   }
   if (const auto* cut = std::get_if<Cut>(&packet); cut != nullptr && phase_ == Phase::kGiven) {
-    owner_.CutLeg(cut->id);
+    owner_.CutAttempt(cut->id);
     return {{IsCut{cut->id}, -1}};
   }
   return {};
--- a/src/handover/giver.hpp
+++ b/src/handover/giver.hpp
@@ -26,9 +26,9 @@
     virtual relay::Estate Freeze() = 0;
     virtual std::vector<acquirer::Passed> Clients() const = 0;
     virtual int LockFd() const = 0;
-    // It owns nothing any more but the legs that are out.
+    // It owns nothing any more but the attempts that are out.
     virtual void Given() = 0;
-    virtual void CutLeg(const std::string& id) = 0;
+    virtual void CutAttempt(const std::string& id) = 0;
     // The process that all was given to has gone.
     virtual void Orphaned() = 0;
   };
--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -41,7 +41,7 @@
 
 std::set<std::string> Start::StillOut() const {
   std::set<std::string> ids;
-  for (const relay::LegOut& leg : estate.out) ids.insert(leg.id);
+  for (const relay::AttemptOut& attempt : estate.out) ids.insert(attempt.id);
   return ids;
 }
 
@@ -68,7 +68,7 @@
   }
 }
 
-Legs::Legs(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate)
+Attempts::Attempts(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate)
     : own_(own),
       told_wait_(std::move(told_wait)),
       operate_(std::move(operate)),
@@ -76,16 +76,16 @@
       next_(loop, [this] {
         for (const Packet& packet : std::exchange(kept_, {})) Feed(packet);
       }) {
-  io_.set<Legs, &Legs::OnIo>(this);
+  io_.set<Attempts, &Attempts::OnIo>(this);
 }
 
-void Legs::TakeOver(Channel channel, const std::vector<relay::LegOut>& out) {
+void Attempts::TakeOver(Channel channel, const std::vector<relay::AttemptOut>& out) {
   channel_.emplace(std::move(channel));
-  for (const relay::LegOut& leg : out) elsewhere_[leg.id] = leg.host;
+  for (const relay::AttemptOut& attempt : out) elsewhere_[attempt.id] = attempt.host;
   io_.start(channel_->fd(), ev::READ);
 }
 
-void Legs::OnIo(ev::io&, int) {
+void Attempts::OnIo(ev::io&, int) {
   if (!channel_) return;
   if (auto received = channel_->Receive(Limit(0))) {
     if (received->fd >= 0) close(received->fd);
@@ -94,24 +94,24 @@
   if (channel_ && channel_->ended()) Lost();
 }
 
-void Legs::Feed(const Packet& packet) {
-  if (const auto* ended = std::get_if<LegEnded>(&packet)) return End(ended->id, ended->end);
+void Attempts::Feed(const Packet& packet) {
+  if (const auto* ended = std::get_if<AttemptEnded>(&packet)) return End(ended->id, ended->end);
   if (const auto* call = std::get_if<Operate>(&packet)) {
     if (channel_) channel_->Send(handover::Operated{operate_(call->word, call->argument)});
   }
 }
 
-void Legs::End(const std::string& id, const relay::LegEnd& end) {
+void Attempts::End(const std::string& id, const relay::AttemptEnd& end) {
   const auto it = elsewhere_.find(id);
   if (it == elsewhere_.end()) return;
   const std::string host = it->second;
   elsewhere_.erase(it);
   if (end.told_wait > relay::Time(0)) told_wait_(host, end.told_wait);
-  relay_->LegEnded(relay_->LegOf(id), end);
+  relay_->AttemptEnded(relay_->AttemptOf(id), end);
 }
 
 // The old process has ended without a word of these: they may have run.
-void Legs::Lost() {
+void Attempts::Lost() {
   io_.stop();
   channel_.reset();
   while (!elsewhere_.empty()) {
@@ -119,19 +119,19 @@
   }
 }
 
-// Its next leg may begin as soon as this returns, and no two may be out at once: the old process's word that
-// it is cut is waited for. If none comes, that process is as good as dead, and so are its connections.
-void Legs::Cut(const relay::LegId& leg) {
-  const auto it = elsewhere_.find(leg.id);
-  if (it == elsewhere_.end()) return own_.Cut(leg);
+// Its next attempt may begin as soon as this returns, and no two may be out at once: the old process's word
+// that it is cut is waited for. If none comes, that process is as good as dead, and so are its connections.
+void Attempts::Cut(const relay::AttemptId& attempt) {
+  const auto it = elsewhere_.find(attempt.id);
+  if (it == elsewhere_.end()) return own_.Cut(attempt);
   elsewhere_.erase(it);
-  if (!channel_ || !channel_->Send(handover::Cut{leg.id})) return;
+  if (!channel_ || !channel_->Send(handover::Cut{attempt.id})) return;
   const net::Time until = net::Loop::Now() + kCutWithin;
   while (!channel_->ended() && net::Loop::Now() < until) {
     auto received = channel_->Receive(Limit(10));
     if (!received) continue;
     const auto* cut = std::get_if<IsCut>(&received->packet);
-    if (cut != nullptr && cut->id == leg.id) return;
+    if (cut != nullptr && cut->id == attempt.id) return;
     kept_.push_back(std::move(received->packet));
     next_.After(net::Time(0));
   }
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -1,5 +1,5 @@
-// The process that takes over: it asks for all that the old one has, and from then on ends the old one's legs
-// like its own.
+// The process that takes over: it asks for all that the old one has, and from then on ends the old one's
+// attempts like its own.
 #pragma once
 
 #include <functional>
@@ -39,25 +39,25 @@
 // journal::FolderLocked when neither could be, Refused, std::system_error.
 Start Take(const std::string& folder, Limit limit);
 
-// The issuer side as the new process's core sees it: legs of its own, and those that go on in the old
+// The issuer side as the new process's core sees it: attempts of its own, and those that go on in the old
 // process.
-class Legs final : public relay::IssuerSide {
+class Attempts final : public relay::IssuerSide {
  public:
   using Operated = std::function<std::string(const std::string& word, const std::string& argument)>;
   using ToldWait = std::function<void(const std::string& host, relay::Time wait)>;
 
   // `own` and `relay` must outlast it. `operate` answers calls of operators who came to the old process's
   // door: empty is done.
-  Legs(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate);
+  Attempts(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
-  // Before Relay::Recover, which is told of the same legs.
-  void TakeOver(Channel channel, const std::vector<relay::LegOut>& out);
+  // Before Relay::Recover, which is told of the same attempts.
+  void TakeOver(Channel channel, const std::vector<relay::AttemptOut>& out);
   // Some still go on there.
   bool waiting() const { return !elsewhere_.empty(); }
 
   void Adopt(const relay::RoutingChange& change) override { own_.Adopt(change); }
-  void Begin(relay::LegOrder order) override { own_.Begin(std::move(order)); }
-  void Cut(const relay::LegId& leg) override;
+  void Begin(relay::AttemptOrder order) override { own_.Begin(std::move(order)); }
+  void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override { own_.CloseIdle(host); }
 
  private:
@@ -65,7 +65,7 @@
 
   void OnIo(ev::io&, int);
   void Feed(const Packet& packet);
-  void End(const std::string& id, const relay::LegEnd& end);
+  void End(const std::string& id, const relay::AttemptEnd& end);
   void Lost();
 
   relay::IssuerSide& own_;
@@ -73,7 +73,7 @@
   Operated operate_;
   relay::Relay* relay_ = nullptr;
   std::optional<Channel> channel_;
-  std::map<std::string, std::string> elsewhere_;  // ids of authorisations, and the host of each leg
+  std::map<std::string, std::string> elsewhere_;  // ids of messages, and the host of each attempt
   std::vector<Packet> kept_;                      // came while another was waited for
   ev::io io_;
   net::Timer next_;
--- a/src/handover/old_process.cpp
+++ b/src/handover/old_process.cpp
@@ -54,8 +54,8 @@
   giver_.Lost();
 }
 
-void OldProcess::Tell(const std::string& id, const relay::LegEnd& end) {
-  if (channel_ && !channel_->Send(LegEnded{id, end})) Drop();
+void OldProcess::Tell(const std::string& id, const relay::AttemptEnd& end) {
+  if (channel_ && !channel_->Send(AttemptEnded{id, end})) Drop();
 }
 
 std::optional<std::string> OldProcess::Operate(const std::string& word, const std::string& argument) {
--- a/src/handover/old_process.hpp
+++ b/src/handover/old_process.hpp
@@ -16,8 +16,8 @@
   OldProcess(net::Loop& loop, const std::string& folder, Giver::Owner& owner);
 
   bool given() const { return giver_.phase() == Giver::Phase::kGiven; }
-  // Once given: a leg has ended here.
-  void Tell(const std::string& id, const relay::LegEnd& end);
+  // Once given: an attempt has ended here.
+  void Tell(const std::string& id, const relay::AttemptEnd& end);
   // Once given: an operator's call that came here. Why not, or nothing; waits for the other's word.
   std::optional<std::string> Operate(const std::string& word, const std::string& argument);
 
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -96,7 +96,7 @@
   Json operator()(const Offered& p) const { return Json::array({p.clients}); }
   Json operator()(const Taken&) const { return Json::array(); }
   Json operator()(const Yours&) const { return Json::array(); }
-  Json operator()(const LegEnded& p) const {
+  Json operator()(const AttemptEnded& p) const {
     return Json::array({p.id, static_cast<int>(p.end.outcome), p.end.over, p.end.told_wait.count()});
   }
   Json operator()(const Cut& p) const { return Json::array({p.id}); }
@@ -124,7 +124,7 @@
     case 7: {
       const int outcome = f.at(1);
       if (outcome < 0 || outcome > static_cast<int>(wheathub::Outcome::kNotSent)) break;
-      return LegEnded{f.at(0), {static_cast<wheathub::Outcome>(outcome), f.at(2), TimeOf(f.at(3))}};
+      return AttemptEnded{f.at(0), {static_cast<wheathub::Outcome>(outcome), f.at(2), TimeOf(f.at(3))}};
     }
     case 8:
       return Cut{f.at(0)};
--- a/src/handover/record.hpp
+++ b/src/handover/record.hpp
@@ -8,8 +8,8 @@
 //   giver  kOffered  all is told; how many clients; with the descriptor of the folder's lock
 //   taker  kTaken    it has read all of that
 //   giver  kYours    from here on the taker owns everything; before it, nothing
-//   giver  kEnded    a leg that went on at the giver has ended
-//   taker  kCut      end that leg; answered by kIsCut
+//   giver  kEnded    an attempt that went on at the giver has ended
+//   taker  kCut      end that attempt; answered by kIsCut
 //   giver  kOperate  an operator's call, which came to the giver's door; answered by kOperated
 //
 // Both run on one machine: numbers are in its byte order.
@@ -47,9 +47,9 @@
 };
 struct Taken {};
 struct Yours {};
-struct LegEnded {
+struct AttemptEnded {
   std::string id;
-  relay::LegEnd end;
+  relay::AttemptEnd end;
 };
 struct Cut {
   std::string id;
@@ -64,8 +64,8 @@
   std::string error;  // empty: done
 };
 
-using Packet = std::variant<Ask, No, EstatePiece, ClientPassed, Offered, Taken, Yours, LegEnded, Cut, IsCut,
-                            Operate, Operated>;
+using Packet = std::variant<Ask, No, EstatePiece, ClientPassed, Offered, Taken, Yours, AttemptEnded, Cut,
+                            IsCut, Operate, Operated>;
 
 std::string ToBytes(const Packet& packet);
 // Throws std::invalid_argument where the bytes are no packet.
--- a/src/issuer/issuer.cpp
+++ b/src/issuer/issuer.cpp
@@ -22,8 +22,8 @@
       counters_(counters),
       failed_timer_(loop,
                     [this] {
-                      for (const auto& [leg, outcome] : std::exchange(failed_, {})) {
-                        relay_->LegEnded(leg, {outcome, false, net::Time(0)});
+                      for (const auto& [attempt, outcome] : std::exchange(failed_, {})) {
+                        relay_->AttemptEnded(attempt, {outcome, false, net::Time(0)});
                       }
                     }),
       sweep_timer_(loop, [this] { Sweep(); }) {
@@ -59,10 +59,10 @@
 }
 
 void Issuer::ReadNow() {
-  std::vector<relay::LegId> legs;
-  for (const auto& [leg, line] : out_) legs.push_back(leg);
-  for (const relay::LegId& leg : legs) {
-    const auto it = out_.find(leg);
+  std::vector<relay::AttemptId> attempts;
+  for (const auto& [attempt, line] : out_) attempts.push_back(attempt);
+  for (const relay::AttemptId& attempt : attempts) {
+    const auto it = out_.find(attempt);
     if (it != out_.end()) it->second->ReadNow();
   }
 }
@@ -73,12 +73,12 @@
 
 // ---- calls ----
 
-void Issuer::Fail(const relay::LegOrder& order, Outcome outcome) {
-  failed_.emplace_back(order.leg, outcome);
+void Issuer::Fail(const relay::AttemptOrder& order, Outcome outcome) {
+  failed_.emplace_back(order.attempt, outcome);
   failed_timer_.After(net::Time(0));
 }
 
-void Issuer::Begin(relay::LegOrder order) {
+void Issuer::Begin(relay::AttemptOrder order) {
   const Host* const host = hosts_.Find(order.host);
   if (host == nullptr || !host->known) return Fail(order, Outcome::kNoConnection);
   const auto pool = pools_.find(order.host);
@@ -86,7 +86,7 @@
   const bool fresh = line == nullptr;
   if (fresh) line = NewLine(order.host, *host);
   if (line == nullptr) return Fail(order, Outcome::kNotSent);
-  out_[order.leg] = line;
+  out_[order.attempt] = line;
   Unlist(*line);
   if (fresh && limits_.connect_timeout > 0s) {
     connect_by_[line] = net::Loop::Now() + limits_.connect_timeout;
@@ -139,25 +139,25 @@
 
 std::optional<std::string> Issuer::OnWritable(Line& line) {
   Unlist(line);
-  const relay::LegOrder& order = line.order();
+  const relay::AttemptOrder& order = line.order();
   const Host* const host = hosts_.Find(line.host());
   const net::Time now = net::Loop::Now();
   // The host may have moved while the line was on its way to where it stood.
   if (host == nullptr || !StandsAt(line, *host) || !hosts_.MayWrite(line.host(), order.write_before, now) ||
-      !relay_->LegWriting(order.leg, line.host(), host->zone)) {
-    counters_.legs_held_back += 1;
+      !relay_->AttemptWriting(order.attempt, line.host(), host->zone)) {
+    counters_.attempts_held_back += 1;
     return std::nullopt;
   }
   return CallText(order, order.give_up_at - now);
 }
 
-void Issuer::OnEnd(Line& line, const relay::LegId& leg, const relay::LegEnd& end) {
-  const auto it = out_.find(leg);
+void Issuer::OnEnd(Line& line, const relay::AttemptId& attempt, const relay::AttemptEnd& end) {
+  const auto it = out_.find(attempt);
   if (it == out_.end() || it->second != &line) return;
   out_.erase(it);
   if (end.told_wait > 0s) hosts_.ToldWait(line.host(), end.told_wait, net::Loop::Now());
   if (end.outcome == Outcome::kNoConnection) counters_.line_failures += 1;
-  relay_->LegEnded(leg, end);
+  relay_->AttemptEnded(attempt, end);
 }
 
 void Issuer::OnFree(Line& line) {
@@ -168,13 +168,13 @@
 
 void Issuer::OnLost(Line& line) { Remove(line); }
 
-void Issuer::Cut(const relay::LegId& leg) {
-  std::erase_if(failed_, [&](const auto& f) { return f.first == leg; });
-  const auto it = out_.find(leg);
+void Issuer::Cut(const relay::AttemptId& attempt) {
+  std::erase_if(failed_, [&](const auto& f) { return f.first == attempt; });
+  const auto it = out_.find(attempt);
   if (it == out_.end()) return;
   Line& line = *it->second;
   line.ReadNow();
-  const auto still = out_.find(leg);
+  const auto still = out_.find(attempt);
   if (still == out_.end()) return;
   out_.erase(still);
   Remove(line);
@@ -209,8 +209,8 @@
     Line* const line = connecting_.begin()->second;
     Unlist(*line);
     if (line->connected()) continue;
-    const relay::LegId leg = line->order().leg;
-    OnEnd(*line, leg, {Outcome::kNoConnection, false, net::Time(0)});
+    const relay::AttemptId attempt = line->order().attempt;
+    OnEnd(*line, attempt, {Outcome::kNoConnection, false, net::Time(0)});
     Remove(*line);
   }
   for (const std::string& id : hosts_.LongGone(now)) {
--- a/src/issuer/issuer.hpp
+++ b/src/issuer/issuer.hpp
@@ -41,15 +41,15 @@
   void CloseAllIdle();
 
   void Adopt(const relay::RoutingChange& change) override;
-  void Begin(relay::LegOrder order) override;
-  void Cut(const relay::LegId& leg) override;
+  void Begin(relay::AttemptOrder order) override;
+  void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
 
  private:
   using Lines = std::vector<std::unique_ptr<Line>>;
 
   std::optional<std::string> OnWritable(Line& line) override;
-  void OnEnd(Line& line, const relay::LegId& leg, const relay::LegEnd& end) override;
+  void OnEnd(Line& line, const relay::AttemptId& attempt, const relay::AttemptEnd& end) override;
   void OnFree(Line& line) override;
   void OnLost(Line& line) override;
   void OnSpoilt() override { counters_.answers_spoilt += 1; }
@@ -60,7 +60,7 @@
   void Remove(Line& line);
   // Neither connecting nor idle any more, as far as the two lists know.
   void Unlist(Line& line);
-  void Fail(const relay::LegOrder& order, wheathub::Outcome outcome);
+  void Fail(const relay::AttemptOrder& order, wheathub::Outcome outcome);
   void Sweep();
 
   net::Loop& loop_;
@@ -69,13 +69,13 @@
   relay::Relay* relay_ = nullptr;
   Hosts hosts_;
   std::map<std::string, Lines> pools_;  // by host; none is empty
-  std::map<relay::LegId, Line*> out_;
+  std::map<relay::AttemptId, Line*> out_;
   // Those that connect, by when they must have, and those that are idle, by since when: with thousands of
   // lines none is looked for among all.
   std::set<std::pair<net::Time, Line*>> connecting_, idle_;
   std::map<Line*, net::Time> connect_by_;
   std::size_t lines_ = 0;
-  std::vector<std::pair<relay::LegId, wheathub::Outcome>> failed_;
+  std::vector<std::pair<relay::AttemptId, wheathub::Outcome>> failed_;
   net::Timer failed_timer_;
   net::Timer sweep_timer_;
 };
--- a/src/issuer/line.cpp
+++ b/src/issuer/line.cpp
@@ -11,7 +11,7 @@
 using wheathub::Outcome;
 using namespace std::chrono_literals;
 
-// From its first byte an answer must be whole within this: one that isn't is spoilt, and the leg must not
+// From its first byte an answer must be whole within this: one that isn't is spoilt, and the attempt must not
 // wait for its deadline.
 constexpr net::Time kAnswerWithin = 400ms;
 constexpr std::uint64_t kLongestAnswer = 128 * 1024;  // a body holds 64 KiB at most
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-relay::LegEnd MeaningOf(const proto::HttpHead& head) {
-  relay::LegEnd end;
+relay::AttemptEnd MeaningOf(const proto::HttpHead& head) {
+  relay::AttemptEnd end;
   switch (head.status) {
     case 200:
       return end;
@@ -49,11 +49,11 @@
   }
 }
 
-std::string CallText(const relay::LegOrder& order, net::Time left) {
+std::string CallText(const relay::AttemptOrder& order, net::Time left) {
   const auto ms =
       std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
   std::string text =
-      "POST /inbox HTTP/1.1\r\nHost: " + order.host + "\r\nX-Request-ID: " + order.leg.id + "\r\n";
+      "POST /inbox HTTP/1.1\r\nHost: " + order.host + "\r\nX-Request-ID: " + order.attempt.id + "\r\n";
   if (!order.key.empty()) text += "Idempotency-Key: " + order.key + "\r\n";
   text += "X-Timeout: " + std::to_string(ms) + "m\r\n";
   return text + "Content-Length: " + std::to_string(order.body.size()) + "\r\n\r\n" + order.body;
@@ -72,7 +72,7 @@
   return connection_ != nullptr;
 }
 
-void Line::Carry(relay::LegOrder order) {
+void Line::Carry(relay::AttemptOrder order) {
   order_ = std::move(order);
   wrote_ = false;
   answering_ = false;
@@ -103,7 +103,7 @@
     in.Consume(reader_.Feed(in.Front()));
     if (order_ && reader_.at_start()) AwaitAnswer();
     // A first line with 200 is a delivery, whatever is wrong with the rest.
-    if (order_ && reader_.first_line_status() == 200) EndLeg(relay::LegEnd());
+    if (order_ && reader_.first_line_status() == 200) EndAttempt(relay::AttemptEnd());
     if (reader_.state() == proto::HttpReader::State::kBad) return Spoilt();
   }
 }
@@ -118,27 +118,27 @@
 void Line::OnWhole(bool keep_alive) {
   answering_ = false;
   timer_.Stop();
-  if (order_) EndLeg(MeaningOf(head_));
+  if (order_) EndAttempt(MeaningOf(head_));
   if (!keep_alive || !keep_) return Lose();
   free_since_ = net::Loop::Now();
   used_ = true;
   owner_.OnFree(*this);
 }
 
-void Line::EndLeg(const relay::LegEnd& end) {
-  const relay::LegId leg = std::move(order_->leg);
+void Line::EndAttempt(const relay::AttemptEnd& end) {
+  const relay::AttemptId attempt = std::move(order_->attempt);
   order_.reset();
-  owner_.OnEnd(*this, leg, end);
+  owner_.OnEnd(*this, attempt, end);
 }
 
 void Line::Spoilt() {
   owner_.OnSpoilt();
-  if (order_) EndLeg({Outcome::kError, false, net::Time(0)});
+  if (order_) EndAttempt({Outcome::kError, false, net::Time(0)});
   Lose();
 }
 
-void Line::End(const relay::LegEnd& end) {
-  EndLeg(end);
+void Line::End(const relay::AttemptEnd& end) {
+  EndAttempt(end);
   // Connected, and not a byte written: as good as new.
   if (connected() && !wrote_) {
     timer_.Stop();
@@ -158,7 +158,7 @@
   // Broken before the call's last byte went out: it never ran. After that it may have.
   const bool whole = wrote_ && connection_ != nullptr && connection_->flushed();
   Cut();
-  if (order_) EndLeg({whole ? Outcome::kReset : Outcome::kNoConnection, false, net::Time(0)});
+  if (order_) EndAttempt({whole ? Outcome::kReset : Outcome::kNoConnection, false, net::Time(0)});
   owner_.OnLost(*this);
 }
 
@@ -177,7 +177,7 @@
   if (!order_) return Lose();
   const bool sent = wrote_ && connection_->flushed();
   Cut();
-  EndLeg({sent ? Outcome::kTimedOut : Outcome::kNoConnection, false, net::Time(0)});
+  EndAttempt({sent ? Outcome::kTimedOut : Outcome::kNoConnection, false, net::Time(0)});
   Lose();
 }
 
--- a/src/journal/entry.hpp
+++ b/src/journal/entry.hpp
@@ -1,4 +1,4 @@
-// What the journal knows of one authorisation that the relay has taken on.
+// What the journal knows of one message that the relay has taken on.
 #pragma once
 
 #include <chrono>
@@ -12,7 +12,7 @@
 
 using Time = std::chrono::microseconds;
 
-struct Authorisation {
+struct Message {
   std::string id;
   std::string key;         // idempotency key; empty: none
   std::string class_name;  // as in the settings
@@ -24,32 +24,32 @@
   std::string body;
 };
 
-// How an authorisation that was not delivered has ended; owed to the platform until it says 204.
+// How a message that was not delivered has ended; owed to the platform until it says 204.
 struct Ending {
   bool deferred = false;  // else undeliverable
   std::int64_t again_ms = 0;
 };
 
-struct Leg {
+struct Attempt {
   std::string host;
   int zone = 0;
   Time at{0};  // Unix time
 };
 
 struct Entry {
-  Authorisation authorisation;
-  int legs = 0;  // begun, those that are out included
-  std::optional<Leg> open;
-  std::optional<Leg> first_risk;  // the first leg that may have run
+  Message message;
+  int attempts = 0;  // begun, those that are out included
+  std::optional<Attempt> open;
+  std::optional<Attempt> first_risk;  // the first attempt that may have run
   std::string last_host;
   std::optional<Ending> ending;
 
-  void BeginLeg(const Leg& leg) {
-    ++legs;
-    open = leg;
-    last_host = leg.host;
+  void BeginAttempt(const Attempt& attempt) {
+    ++attempts;
+    open = attempt;
+    last_host = attempt.host;
   }
-  void EndLeg(bool may_have_run) {
+  void EndAttempt(bool may_have_run) {
     if (may_have_run && !first_risk) first_risk = open;
     open.reset();
   }
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -14,7 +14,15 @@
 namespace oxbowspread::journal {
 namespace {
 
-enum class Type : std::uint8_t { kAccepted = 1, kLegBegun, kLegEnded, kEnded, kClosed, kHostOut, kHostBack };
+enum class Type : std::uint8_t {
+  kAccepted = 1,
+  kAttemptBegun,
+  kAttemptEnded,
+  kEnded,
+  kClosed,
+  kHostOut,
+  kHostBack
+};
 
 constexpr std::size_t kFrame = 8;
 constexpr std::size_t kLongest = 256 * 1024;  // of a payload: more is no record
@@ -42,7 +50,9 @@
     Put(std::uint8_t{c.ordered}).Put(c.aim.count()).Put(c.deadline.count());
     return Put(c.repeat_window.count()).Put(c.worth).Put(c.late_value);
   }
-  Writer& Put(const Leg& leg) { return Put(leg.host).Put(std::int32_t{leg.zone}).Put(leg.at.count()); }
+  Writer& Put(const Attempt& attempt) {
+    return Put(attempt.host).Put(std::int32_t{attempt.zone}).Put(attempt.at.count());
+  }
   const std::string& bytes() const { return bytes_; }
 
  private:
@@ -72,12 +82,12 @@
     rest_.remove_prefix(size);
     return text;
   }
-  Leg GetLeg() {
-    Leg leg;
-    leg.host = Text();
-    leg.zone = Get<std::int32_t>();
-    leg.at = Time(Get<Time::rep>());
-    return leg;
+  Attempt GetAttempt() {
+    Attempt attempt;
+    attempt.host = Text();
+    attempt.zone = Get<std::int32_t>();
+    attempt.at = Time(Get<Time::rep>());
+    return attempt;
   }
   wheathub::MessageClass GetClass(const std::string& name) {
     wheathub::MessageClass c;
@@ -106,18 +116,18 @@
 }
 
 std::string Accepted(const Entry& e) {
-  const Authorisation& a = e.authorisation;
+  const Message& a = e.message;
   Writer w(Type::kAccepted);
   w.Put(a.id).Put(a.key).Put(a.class_name).Put(a.destination).Put(a.ends_at.count());
   w.Put(static_cast<std::uint8_t>(a.again)).Put(a.body);
-  // The history that a rewritten file carries on; the open leg follows as a record of its own.
-  w.Put(std::int32_t{e.legs - (e.open ? 1 : 0)}).Put(e.last_host);
-  w.Put(static_cast<std::uint8_t>(e.first_risk.has_value())).Put(e.first_risk.value_or(Leg()));
+  // The history that a rewritten file carries on; the open attempt follows as a record of its own.
+  w.Put(std::int32_t{e.attempts - (e.open ? 1 : 0)}).Put(e.last_host);
+  w.Put(static_cast<std::uint8_t>(e.first_risk.has_value())).Put(e.first_risk.value_or(Attempt()));
   if (a.rules) w.Put(*a.rules);
   return w.bytes();
 }
-std::string LegBegun(const std::string& id, const Leg& leg) {
-  return Writer(Type::kLegBegun).Put(id).Put(leg).bytes();
+std::string AttemptBegun(const std::string& id, const Attempt& attempt) {
+  return Writer(Type::kAttemptBegun).Put(id).Put(attempt).bytes();
 }
 std::string Ended(const std::string& id, const Ending& ending) {
   return Writer(Type::kEnded)
@@ -129,7 +139,7 @@
 
 std::string HostRecord(Type type, const std::string& host) { return Writer(type).Put(host).bytes(); }
 
-std::size_t Size(const Entry& e) { return kRecordsOfOne + e.authorisation.body.size(); }
+std::size_t Size(const Entry& e) { return kRecordsOfOne + e.message.body.size(); }
 
 [[noreturn]] void Throw(const std::string& what) {
   throw std::system_error(errno, std::generic_category(), what);
@@ -187,7 +197,7 @@
   if (cut_bytes_ > 0 && ftruncate(fd_, static_cast<off_t>(at)) != 0) Throw("can't cut " + path_);
   file_bytes_ = at;
   for (auto& [id, e] : entries_) {
-    if (e.open && still_out.count(id) == 0) e.EndLeg(true);
+    if (e.open && still_out.count(id) == 0) e.EndAttempt(true);
   }
   Compact();
 }
@@ -198,7 +208,7 @@
   const std::string id = p.Text();
   if (type == Type::kAccepted) {
     Entry e;
-    Authorisation& a = e.authorisation;
+    Message& a = e.message;
     a.id = id;
     a.key = p.Text();
     a.class_name = p.Text();
@@ -206,10 +216,10 @@
     a.ends_at = Time(p.Get<Time::rep>());
     a.again = p.Get<std::uint8_t>() != 0;
     a.body = p.Text();
-    e.legs = p.Get<std::int32_t>();
+    e.attempts = p.Get<std::int32_t>();
     e.last_host = p.Text();
     const bool risk = p.Get<std::uint8_t>() != 0;
-    const Leg first = p.GetLeg();
+    const Attempt first = p.GetAttempt();
     if (risk) e.first_risk = first;
     if (!p.empty()) a.rules = p.GetClass(a.class_name);
     if (p.good()) Keep(std::move(e));
@@ -224,11 +234,11 @@
   if (it == entries_.end()) return p.good();
   Entry& e = it->second;
   switch (type) {
-    case Type::kLegBegun:
-      e.BeginLeg(p.GetLeg());
+    case Type::kAttemptBegun:
+      e.BeginAttempt(p.GetAttempt());
       return p.good();
-    case Type::kLegEnded:
-      e.EndLeg(p.Get<std::uint8_t>() != 0);
+    case Type::kAttemptEnded:
+      e.EndAttempt(p.Get<std::uint8_t>() != 0);
       return p.good();
     case Type::kEnded:
       e.ending = Ending{p.Get<std::uint8_t>() != 0, p.Get<std::int64_t>()};
@@ -242,7 +252,7 @@
 }
 
 Entry& Journal::Keep(Entry entry) {
-  const std::string id = entry.authorisation.id;
+  const std::string id = entry.message.id;
   live_bytes_ += Size(entry);
   return entries_[id] = std::move(entry);
 }
@@ -291,7 +301,7 @@
   for (auto it = entries_.begin(); good && it != entries_.end(); ++it) {
     const Entry& e = it->second;
     good = WriteFrame(next, Accepted(e), &size);
-    if (good && e.open) good = WriteFrame(next, LegBegun(it->first, *e.open), &size);
+    if (good && e.open) good = WriteFrame(next, AttemptBegun(it->first, *e.open), &size);
     if (good && e.ending) good = WriteFrame(next, Ended(it->first, *e.ending), &size);
   }
   good = good && rename(next_path_.c_str(), path_.c_str()) == 0;
@@ -305,26 +315,26 @@
   return true;
 }
 
-bool Journal::Accept(const Authorisation& authorisation) {
+bool Journal::Accept(const Message& message) {
   Entry e;
-  e.authorisation = authorisation;
+  e.message = message;
   if (!Append(Accepted(e))) return false;
   Keep(std::move(e));
   return true;
 }
 
-bool Journal::BeginLeg(const std::string& id, const Leg& leg) {
+bool Journal::BeginAttempt(const std::string& id, const Attempt& attempt) {
   const auto it = entries_.find(id);
-  if (it == entries_.end() || !Append(LegBegun(id, leg))) return false;
-  it->second.BeginLeg(leg);
+  if (it == entries_.end() || !Append(AttemptBegun(id, attempt))) return false;
+  it->second.BeginAttempt(attempt);
   return true;
 }
 
-bool Journal::EndLeg(const std::string& id, bool may_have_run) {
+bool Journal::EndAttempt(const std::string& id, bool may_have_run) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return false;
-  it->second.EndLeg(may_have_run);
-  return Append(Writer(Type::kLegEnded).Put(id).Put(static_cast<std::uint8_t>(may_have_run)).bytes());
+  it->second.EndAttempt(may_have_run);
+  return Append(Writer(Type::kAttemptEnded).Put(id).Put(static_cast<std::uint8_t>(may_have_run)).bytes());
 }
 
 bool Journal::End(const std::string& id, const Ending& ending) {
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -17,8 +17,8 @@
 
 class Journal {
  public:
-  // Reads what is in the folder, cuts a torn tail and takes a leg that was out as one that may have run.
-  // Legs of the authorisations in `still_out` go on in another process, and stay open.
+  // Reads what is in the folder, cuts a torn tail and takes an attempt that was out as one that may have run.
+  // Attempts of the messages in `still_out` go on in another process, and stay open.
   // `budget` is what all files may hold. Throws std::system_error if the folder can't be used at all.
   Journal(const std::string& folder, std::size_t budget, const std::set<std::string>& still_out = {});
   ~Journal();
@@ -31,13 +31,13 @@
   std::size_t cut_bytes() const { return cut_bytes_; }  // of a torn tail
   std::size_t file_bytes() const { return file_bytes_; }
 
-  // Whether an authorisation with such a body would fit beside all that is owed.
+  // Whether a message with such a body would fit beside all that is owed.
   bool CanHold(std::size_t body) const;
 
   // Each is on record when it returns true. When the disk doesn't take it the file stays as it was.
-  bool Accept(const Authorisation& authorisation);
-  bool BeginLeg(const std::string& id, const Leg& leg);
-  bool EndLeg(const std::string& id, bool may_have_run);
+  bool Accept(const Message& message);
+  bool BeginAttempt(const std::string& id, const Attempt& attempt);
+  bool EndAttempt(const std::string& id, bool may_have_run);
   bool End(const std::string& id, const Ending& ending);
   bool Close(const std::string& id);  // delivered, withdrawn, or its notice taken: nothing is owed
 
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -115,7 +115,7 @@
 
 void Node::Take(const model::HandIn& in, const std::string& body) {
   last_hand_ = around_.Now();
-  journal::Authorisation a;
+  journal::Message a;
   a.id = in.id;
   a.key = in.key;
   a.class_name = "outbound";
@@ -136,8 +136,8 @@
 
 // ---- lines ----
 
-void Node::Fail(const relay::LegId& leg, Outcome outcome) {
-  Later(Time(0), [this, leg, outcome] { relay_->LegEnded(leg, {outcome, false, Time(0)}); });
+void Node::Fail(const relay::AttemptId& attempt, Outcome outcome) {
+  Later(Time(0), [this, attempt, outcome] { relay_->AttemptEnded(attempt, {outcome, false, Time(0)}); });
 }
 
 // An idle line, or a new one; false: none to be had. `fresh` by whether the pool had one.
@@ -212,49 +212,49 @@
 
 // ---- calls ----
 
-void Node::Begin(relay::LegOrder order) {
+void Node::Begin(relay::AttemptOrder order) {
   const issuer::Host* const host = hosts_.Find(order.host);
-  if (host == nullptr || !host->known) return Fail(order.leg, Outcome::kNoConnection);
+  if (host == nullptr || !host->known) return Fail(order.attempt, Outcome::kNoConnection);
   const Time now = Now();
   const std::string address = host->address;
   const bool fresh = !TakeLine(order.host, address, now);
   if (fresh) {
-    if (lines_ >= options_.most_lines && !MakeRoom()) return Fail(order.leg, Outcome::kNotSent);
+    if (lines_ >= options_.most_lines && !MakeRoom()) return Fail(order.attempt, Outcome::kNotSent);
     if (!around_.Connect(address)) {
       counters_.line_failures += 1;
-      return Fail(order.leg, Outcome::kNoConnection);
+      return Fail(order.attempt, Outcome::kNoConnection);
     }
     lines_ += 1;
     counters_.lines_opened += 1;
   }
   if (!hosts_.MayWrite(order.host, order.write_before, now) ||
-      !relay_->LegWriting(order.leg, order.host, host->zone)) {
-    counters_.legs_held_back += 1;
+      !relay_->AttemptWriting(order.attempt, order.host, host->zone)) {
+    counters_.attempts_held_back += 1;
     GiveLine(order.host, address);
-    return Fail(order.leg, Outcome::kNotSent);
+    return Fail(order.attempt, Outcome::kNotSent);
   }
   const std::uint64_t call = around_.NextCall(options_.number);
-  calls_[call] = {order.leg, order.host, address};
-  by_leg_[order.leg] = call;
-  around_.Tell(model::Called{call, options_.number, address, order.leg.id, order.key, fresh});
+  calls_[call] = {order.attempt, order.host, address};
+  by_attempt_[order.attempt] = call;
+  around_.Tell(model::Called{call, options_.number, address, order.attempt.id, order.key, fresh});
   Later(std::max(Time(0), order.give_up_at - now), [this, call] { Expire(call); });
 }
 
 void Node::Expire(std::uint64_t number) {
   const auto it = calls_.find(number);
   if (it == calls_.end()) return;
-  const relay::LegId leg = it->second.leg;
-  Cut(leg);
-  relay_->LegEnded(leg, {Outcome::kTimedOut, false, Time(0)});
+  const relay::AttemptId attempt = it->second.attempt;
+  Cut(attempt);
+  relay_->AttemptEnded(attempt, {Outcome::kTimedOut, false, Time(0)});
 }
 
-void Node::Cut(const relay::LegId& leg) {
-  const auto it = by_leg_.find(leg);
-  if (it == by_leg_.end()) return;
+void Node::Cut(const relay::AttemptId& attempt) {
+  const auto it = by_attempt_.find(attempt);
+  if (it == by_attempt_.end()) return;
   const std::uint64_t number = it->second;
   CloseLine(calls_.at(number).address);
   calls_.erase(number);
-  by_leg_.erase(it);
+  by_attempt_.erase(it);
   around_.Tell(model::Dropped{number});
 }
 
@@ -263,7 +263,7 @@
   if (it == calls_.end()) return;
   const Call call = it->second;
   calls_.erase(it);
-  by_leg_.erase(call.leg);
+  by_attempt_.erase(call.attempt);
   // Read as the issuer side reads it.
   proto::HttpHead head;
   head.status = answer.status;
@@ -272,10 +272,10 @@
     std::snprintf(text, sizeof text, "%.6f", static_cast<double>(answer.wait.count()) / 1e6);
     head.headers["retry-after"] = text;
   }
-  const relay::LegEnd end = issuer::MeaningOf(head);
+  const relay::AttemptEnd end = issuer::MeaningOf(head);
   if (end.told_wait > 0us) hosts_.ToldWait(call.host, end.told_wait, Now());
   GiveLine(call.host, call.address);
-  relay_->LegEnded(call.leg, end);
+  relay_->AttemptEnded(call.attempt, end);
 }
 
 void Node::Break(std::uint64_t number) {
@@ -283,9 +283,9 @@
   if (it == calls_.end()) return;
   const Call call = it->second;
   calls_.erase(it);
-  by_leg_.erase(call.leg);
+  by_attempt_.erase(call.attempt);
   CloseLine(call.address);
-  relay_->LegEnded(call.leg, {Outcome::kReset, false, Time(0)});
+  relay_->AttemptEnded(call.attempt, {Outcome::kReset, false, Time(0)});
 }
 
 // ---- discovery and notices ----
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -69,7 +69,7 @@
  private:
   struct Hand;
   struct Call {
-    relay::LegId leg;
+    relay::AttemptId attempt;
     std::string host, address;
   };
   struct Pool {
@@ -81,15 +81,15 @@
   Time UnixNow() const override;
   void WakeAt(Time moment) override;
   void Adopt(const relay::RoutingChange& change) override;
-  void Begin(relay::LegOrder order) override;
-  void Cut(const relay::LegId& leg) override;
+  void Begin(relay::AttemptOrder order) override;
+  void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
   void Watch() override;
   void Fetch() override;
   void Post(const std::string& id, const journal::Ending& ending) override;
 
   void Later(Time after, std::function<void()> what);  // not once this life is over
-  void Fail(const relay::LegId& leg, wheathub::Outcome outcome);
+  void Fail(const relay::AttemptId& attempt, wheathub::Outcome outcome);
   bool TakeLine(const std::string& host, const std::string& address, Time now);
   void GiveLine(const std::string& host, const std::string& address);
   void CloseLine(const std::string& address);
@@ -113,7 +113,7 @@
   std::map<std::string, Pool> pools_;
   std::size_t lines_ = 0;
   std::map<std::uint64_t, Call> calls_;
-  std::map<relay::LegId, std::uint64_t> by_leg_;
+  std::map<relay::AttemptId, std::uint64_t> by_attempt_;
   std::map<std::uint64_t, std::unique_ptr<Hand>> hands_;
   Time terminated_{-1}, last_hand_{0};
   bool settled_ = false;
--- a/src/notice/notice.hpp
+++ b/src/notice/notice.hpp
@@ -1,4 +1,4 @@
-// Notices to the platform: how authorisations that were not delivered have ended, told until they are taken.
+// Notices to the platform: how messages that were not delivered have ended, told until they are taken.
 #pragma once
 
 #include <map>
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -6,7 +6,7 @@
 
 std::string Counters::Text() const {
   const std::pair<const char*, std::uint64_t> all[] = {
-      {"authorisations", authorisations},
+      {"authorisations", messages},
       {"taken_on", taken_on},
       {"known_again", known_again},
       {"withdrawn", withdrawn},
@@ -19,7 +19,7 @@
       {"recovered_untried", recovered_untried},
       {"given_up_untried", given_up_untried},
       {"journal_cut_bytes", journal_cut_bytes},
-      {"legs", legs},
+      {"legs", attempts},
       {"lines_opened", lines_opened},
       {"line_failures", line_failures},
       {"lines_evicted", lines_evicted},
@@ -33,7 +33,7 @@
       {"reset", reset},
       {"cancelled", cancelled},
       {"not_sent", not_sent},
-      {"legs_held_back", legs_held_back},
+      {"legs_held_back", attempts_held_back},
       {"delivered", delivered},
       {"undeliverable", undeliverable},
       {"deferred", deferred},
--- a/src/relay/estate.hpp
+++ b/src/relay/estate.hpp
@@ -10,9 +10,9 @@
 
 namespace oxbowspread::relay {
 
-// A leg that goes on in the process that gives over.
-struct LegOut {
-  std::string id;  // of its authorisation, which has one at most
+// An attempt that goes on in the process that gives over.
+struct AttemptOut {
+  std::string id;  // of its message, which has one at most
   std::string host;
   Time begun{0};
 };
@@ -25,7 +25,7 @@
 struct Estate {
   RoutingChange table;  // as discovery listed it, with its revision
   std::vector<wheathub::Belief> beliefs;
-  std::vector<LegOut> out;
+  std::vector<AttemptOut> out;
   std::vector<HostWait> waits;
 };
 
--- a/src/relay/phase.hpp
+++ b/src/relay/phase.hpp
@@ -20,7 +20,7 @@
   kPaused,    // takes nothing new and finishes what it holds, but stays up: an operator's drain
   kDraining,  // asked to end: clients that still come are served, what is held is finished
   kSettling,  // nothing new is sent; answers to what is out are still taken
-  kGiven,     // another process has taken all over; legs that are out here end, and are told to it
+  kGiven,     // another process has taken all over; attempts that are out here end, and are told to it
   kStopped
 };
 
--- a/src/relay/ports.hpp
+++ b/src/relay/ports.hpp
@@ -20,7 +20,7 @@
   virtual void WakeAt(Time moment) = 0;  // calls Relay::Turn then; the latest wish counts
 };
 
-// Who waits for the answer to an authorisation; lives until it is answered or withdrawn.
+// Who waits for the answer to a message; lives until it is answered or withdrawn.
 class Acquirer {
  public:
   virtual ~Acquirer() = default;
@@ -47,15 +47,15 @@
   virtual void Fetch() = 0;
 };
 
-struct LegId {
-  std::string id;  // of the authorisation
+struct AttemptId {
+  std::string id;  // of the message
   int number = 0;
 
-  auto operator<=>(const LegId&) const = default;
+  auto operator<=>(const AttemptId&) const = default;
 };
 
-struct LegOrder {
-  LegId leg;
+struct AttemptOrder {
+  AttemptId attempt;
   std::string host;
   std::string key;
   std::string body;
@@ -64,7 +64,7 @@
   Time write_before{0};
 };
 
-struct LegEnd {
+struct AttemptEnd {
   wheathub::Outcome outcome = wheathub::Outcome::kServed;
   bool over = false;  // the issuer host says that nothing more is owed
   Time told_wait{0};
@@ -74,10 +74,11 @@
  public:
   virtual ~IssuerSide() = default;
   virtual void Adopt(const RoutingChange& change) = 0;
-  // Ends in one Relay::LegEnded, which may come from within this call.
-  virtual void Begin(LegOrder order) = 0;
-  // Ends it; where its answer has come unread so far, by Relay::LegEnded from within this call. None follows.
-  virtual void Cut(const LegId& leg) = 0;
+  // Ends in one Relay::AttemptEnded, which may come from within this call.
+  virtual void Begin(AttemptOrder order) = 0;
+  // Ends it; where its answer has come unread so far, by Relay::AttemptEnded from within this call. None
+  // follows.
+  virtual void Cut(const AttemptId& attempt) = 0;
   virtual void CloseIdle(const std::string& host) = 0;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -12,8 +12,9 @@
 using wheathub::Outcome;
 
 constexpr Time kComeAgain = 1s;  // told to a client where the module had no say
-// A client counts a message's time from when it sent it, which may be so long before it was read here: it hears
-// +OK within that, or goes elsewhere. What is delivered in the last of its time may be late by its count.
+// A client counts a message's time from when it sent it, which may be so long before it was read here: it
+// hears +OK within that, or goes elsewhere. What is delivered in the last of its time may be late by its
+// count.
 constexpr Time kClientAhead = 400ms;
 
 bool MayHaveRun(Outcome o) {
@@ -21,7 +22,7 @@
 }
 
 // What a message of its class has, from when it was first handed in.
-Time WholeTimeOf(const journal::Authorisation& a) { return a.rules ? a.rules->deadline : Time(0); }
+Time WholeTimeOf(const journal::Message& a) { return a.rules ? a.rules->deadline : Time(0); }
 
 }  // namespace
 
@@ -41,7 +42,7 @@
 wheathub::Settings Relay::Merged(wheathub::Settings settings, Classes& classes,
                                  const journal::Journal& journal) {
   for (const auto& [id, entry] : journal.entries()) {
-    if (entry.authorisation.rules && !entry.ending) classes.NumberOf(*entry.authorisation.rules);
+    if (entry.message.rules && !entry.ending) classes.NumberOf(*entry.message.rules);
   }
   settings.classes = classes.all();
   return settings;
@@ -51,16 +52,16 @@
   wheathub::Decider(settings, 0);  // throws, before anything has changed
   std::set<int> held;
   for (const auto& [id, h] : held_) held.insert(h.message_class);
-  for (const auto& [id, fresh] : fresh_) held.insert(ClassOf(fresh.authorisation));
+  for (const auto& [id, fresh] : fresh_) held.insert(ClassOf(fresh.message));
   classes_.Renew(settings.classes, held);
   settings.classes = classes_.all();
   settings_ = settings;
   Queue(wheathub::NewSettings{std::move(settings)});
 }
 
-int Relay::ClassOf(const journal::Authorisation& authorisation) {
-  if (authorisation.rules) return classes_.NumberOf(*authorisation.rules);
-  return classes_.Current(authorisation.class_name);
+int Relay::ClassOf(const journal::Message& message) {
+  if (message.rules) return classes_.NumberOf(*message.rules);
+  return classes_.Current(message.class_name);
 }
 
 bool Relay::NeedsKey(const std::string& class_name) const {
@@ -89,16 +90,16 @@
     RoutingChanged(known);
   } else {
     RoutingChange table = taken->table;
-    for (const LegOut& leg : taken->out) {
-      out[leg.id] = leg.begun;
-      const journal::Entry* entry = journal_.Find(leg.id);
+    for (const AttemptOut& attempt : taken->out) {
+      out[attempt.id] = attempt.begun;
+      const journal::Entry* entry = journal_.Find(attempt.id);
       const bool listed = std::any_of(table.hosts.begin(), table.hosts.end(),
-                                      [&](const Host& h) { return h.info.id == leg.host; });
+                                      [&](const Host& h) { return h.info.id == attempt.host; });
       if (entry == nullptr || !entry->open || listed) continue;
-      // The module must know the host of every leg, also one that has left the list.
+      // The module must know the host of every attempt, also one that has left the list.
       Host gone;
-      gone.info = {leg.host, entry->authorisation.destination, 0, entry->open->zone,
-                   1,        wheathub::Lifecycle::kRemoved};
+      gone.info = {
+          attempt.host, entry->message.destination, 0, entry->open->zone, 1, wheathub::Lifecycle::kRemoved};
       table.hosts.push_back(gone);
     }
     RoutingChanged(table);
@@ -118,25 +119,25 @@
       message.history.since_sent = sides_.clock.Now() - it->second;
       // Its time is up, and it can't be said that it never ran.
       if (message.expires_in <= Time(0)) message.history.may_have_run = true;
-      out_[{id, entry.legs - 1}] = {entry.open->host, it->second, true};
+      out_[{id, entry.attempts - 1}] = {entry.open->host, it->second, true};
     }
-    const bool untried = entry.legs == 0 && 2 * message.expires_in >= WholeTimeOf(entry.authorisation);
+    const bool untried = entry.attempts == 0 && 2 * message.expires_in >= WholeTimeOf(entry.message);
     counters_.recovered_untried += untried;
-    held_[id] = {sides_.clock.Now() + message.expires_in, entry.legs, message.message_class, untried};
+    held_[id] = {sides_.clock.Now() + message.expires_in, entry.attempts, message.message_class, untried};
     Queue(message);
   }
   Turn();
 }
 
 wheathub::Message Relay::MessageOf(const journal::Entry& entry) {
-  const journal::Authorisation& a = entry.authorisation;
+  const journal::Message& a = entry.message;
   wheathub::Message m;
   m.id = a.id;
   m.message_class = ClassOf(a);
   m.destination = a.destination;
   m.expires_in = a.ends_at - sides_.clock.UnixNow();
   m.again = a.again;
-  m.history.sends = entry.legs;
+  m.history.sends = entry.attempts;
   m.history.last_endpoint = entry.last_host;
   if (entry.first_risk) {
     m.history.may_have_run = true;
@@ -148,9 +149,9 @@
 
 // ---- the acquirer side ----
 
-void Relay::Submit(journal::Authorisation authorisation, Acquirer& from) {
-  counters_.authorisations += 1;
-  const std::string id = authorisation.id;
+void Relay::Submit(journal::Message message, Acquirer& from) {
+  counters_.messages += 1;
+  const std::string id = message.id;
   if (journal_.Find(id) != nullptr) {
     // Handed in once more because its connection ended: it is taken on already.
     counters_.known_again += 1;
@@ -163,24 +164,25 @@
   }
   const auto most = static_cast<std::size_t>(std::max(0, settings_.max_open));
   const bool full = settled_ || (most > 0 && held_.size() + fresh_.size() >= most);
-  const bool no_room = !journal_.CanHold(authorisation.body.size());
+  const bool no_room = !journal_.CanHold(message.body.size());
   if (full || no_room) {
     (full ? counters_.busy_full : counters_.busy_journal) += 1;
     from.Refused(kComeAgain);
     return;
   }
-  const int c = classes_.Current(authorisation.class_name);
-  if (c >= 0) authorisation.rules = classes_.at(c);
+  const int c = classes_.Current(message.class_name);
+  if (c >= 0) message.rules = classes_.at(c);
   journal::Entry entry;
-  entry.authorisation = authorisation;
-  wheathub::Message message = MessageOf(entry);
-  message.expires_in = authorisation.ends_at - sides_.clock.UnixNow();
-  fresh_[id] = {std::move(authorisation), {&from}, sides_.clock.Now() + message.expires_in};
-  Queue(std::move(message));
+  entry.message = message;
+  wheathub::Message event = MessageOf(entry);
+  event.expires_in = message.ends_at - sides_.clock.UnixNow();
+  fresh_[id] = {std::move(message), {&from}, sides_.clock.Now() + event.expires_in};
+  Queue(std::move(event));
 }
 
-// Whoever is not taken on by now hears so: a connection that ends without an answer loses the message. A leg
-// that still waits for its connection is taken back: written now it might not end before the process does.
+// Whoever is not taken on by now hears so: a connection that ends without an answer loses the message. An
+// attempt that still waits for its connection is taken back: written now it might not end before the process
+// does.
 void Relay::Settle() {
   if (std::exchange(settled_, true)) return;
   for (const auto& [id, fresh] : std::exchange(fresh_, {})) {
@@ -190,13 +192,13 @@
 }
 
 void Relay::TakeBackUnwritten() {
-  std::vector<LegId> unwritten;
-  for (const auto& [leg, out] : out_) {
-    if (!out.written) unwritten.push_back(leg);
+  std::vector<AttemptId> unwritten;
+  for (const auto& [attempt, out] : out_) {
+    if (!out.written) unwritten.push_back(attempt);
   }
-  for (const LegId& leg : unwritten) {
-    sides_.issuer.Cut(leg);
-    LegEnded(leg, {Outcome::kNotSent, false, Time(0)});
+  for (const AttemptId& attempt : unwritten) {
+    sides_.issuer.Cut(attempt);
+    AttemptEnded(attempt, {Outcome::kNotSent, false, Time(0)});
   }
 }
 
@@ -234,7 +236,7 @@
 }
 
 bool Relay::TakeOn(const Fresh& fresh) {
-  const journal::Authorisation& a = fresh.authorisation;
+  const journal::Message& a = fresh.message;
   if (!journal_.Accept(a)) {
     counters_.busy_journal += 1;
     for (Acquirer* from : fresh.from) from->Refused(kComeAgain);
@@ -259,8 +261,8 @@
   Estate all;
   all.table = table_.Listed();
   all.beliefs = decider_.beliefs();
-  for (const auto& [leg, out] : out_) {
-    if (out.written) all.out.push_back({leg.id, out.host, out.begun});
+  for (const auto& [attempt, out] : out_) {
+    if (out.written) all.out.push_back({attempt.id, out.host, out.begun});
   }
   TakeBackUnwritten();
   return all;
@@ -274,15 +276,15 @@
   held_.clear();
 }
 
-LegId Relay::LegOf(const std::string& id) const {
+AttemptId Relay::AttemptOf(const std::string& id) const {
   const auto it = out_.lower_bound({id, 0});
-  return it == out_.end() || it->first.id != id ? LegId{id, -1} : it->first;
+  return it == out_.end() || it->first.id != id ? AttemptId{id, -1} : it->first;
 }
 
 void Relay::CutGiven(const std::string& id) {
-  const LegId leg = LegOf(id);
-  if (!given() || out_.erase(leg) == 0) return;
-  sides_.issuer.Cut(leg);
+  const AttemptId attempt = AttemptOf(id);
+  if (!given() || out_.erase(attempt) == 0) return;
+  sides_.issuer.Cut(attempt);
 }
 
 void Relay::Turn() {
@@ -325,16 +327,16 @@
   Queue(wheathub::ProbeEnded{probe.endpoint, Outcome::kNotSent, Time(0), Time(0), std::nullopt});
 }
 
-// ---- legs ----
+// ---- attempts ----
 
-LegOrder Relay::OrderOf(const wheathub::Send& send, const Held& held) const {
+AttemptOrder Relay::OrderOf(const wheathub::Send& send, const Held& held) const {
   const journal::Entry& entry = *journal_.Find(send.id);
   const Time now = sides_.clock.Now();
-  LegOrder order;
-  order.leg = {send.id, held.sends};
+  AttemptOrder order;
+  order.attempt = {send.id, held.sends};
   order.host = send.endpoint;
-  order.key = entry.authorisation.key;
-  order.body = entry.authorisation.body;
+  order.key = entry.message.key;
+  order.body = entry.message.body;
   order.give_up_at = held.ends_at;
   if (send.timeout > Time(0)) order.give_up_at = std::min(order.give_up_at, now + send.timeout);
   order.write_before = held.ends_at;
@@ -355,21 +357,21 @@
     ended.closed = true;
     return Queue(std::move(ended));
   }
-  counters_.legs += 1;
-  LegOrder order = OrderOf(send, it->second);
+  counters_.attempts += 1;
+  AttemptOrder order = OrderOf(send, it->second);
   it->second.sends += 1;
-  out_[order.leg] = {send.endpoint, sides_.clock.Now(), false};
+  out_[order.attempt] = {send.endpoint, sides_.clock.Now(), false};
   sides_.issuer.Begin(std::move(order));
 }
 
-bool Relay::LegWriting(const LegId& leg, const std::string& host, int zone) {
-  const auto it = out_.find(leg);
+bool Relay::AttemptWriting(const AttemptId& attempt, const std::string& host, int zone) {
+  const auto it = out_.find(attempt);
   if (it == out_.end() || settled_) return false;
-  it->second.written = journal_.BeginLeg(leg.id, {host, zone, sides_.clock.UnixNow()});
+  it->second.written = journal_.BeginAttempt(attempt.id, {host, zone, sides_.clock.UnixNow()});
   return it->second.written;
 }
 
-void Relay::Count(const LegEnd& end) {
+void Relay::Count(const AttemptEnd& end) {
   switch (end.outcome) {
     case Outcome::kServed:
       counters_.served += 1;
@@ -399,31 +401,31 @@
 }
 
 // The outcome is on record at once, also when the module is not asked any more.
-void Relay::LegEnded(const LegId& leg, const LegEnd& end) {
-  const auto it = out_.find(leg);
+void Relay::AttemptEnded(const AttemptId& attempt, const AttemptEnd& end) {
+  const auto it = out_.find(attempt);
   if (it == out_.end()) return;
   const Out out = it->second;
   out_.erase(it);
   Count(end);
-  if (given()) return told_(leg.id, end);
+  if (given()) return told_(attempt.id, end);
   const bool over = end.over || end.outcome == Outcome::kServed;
-  if (over && journal_.Find(leg.id) != nullptr) {
-    const auto held = held_.find(leg.id);
+  if (over && journal_.Find(attempt.id) != nullptr) {
+    const auto held = held_.find(attempt.id);
     const bool served = end.outcome == Outcome::kServed;
     const bool late = held != held_.end() && sides_.clock.Now() >= held->second.ends_at - kClientAhead;
     counters_.delivered += served;
     if (held != held_.end()) held_.erase(held);
     if (served && late) {
-      TellEnd(leg.id, {false, 0});
+      TellEnd(attempt.id, {false, 0});
     } else {
-      journal_.Close(leg.id);
+      journal_.Close(attempt.id);
     }
   } else if (out.written) {
-    journal_.EndLeg(leg.id, MayHaveRun(end.outcome));
+    journal_.EndAttempt(attempt.id, MayHaveRun(end.outcome));
   }
   wheathub::AttemptEnded ended;
-  ended.id = leg.id;
-  ended.attempt = leg.number;
+  ended.id = attempt.id;
+  ended.attempt = attempt.number;
   ended.endpoint = out.host;
   ended.outcome = end.outcome;
   ended.latency = sides_.clock.Now() - out.begun;
@@ -433,12 +435,12 @@
 }
 
 void Relay::Do(const wheathub::Cancel& cancel) {
-  const LegId leg{cancel.id, cancel.attempt};
-  const auto it = out_.find(leg);
+  const AttemptId attempt{cancel.id, cancel.attempt};
+  const auto it = out_.find(attempt);
   if (it == out_.end()) return;  // its end is on the way to the module
   const bool written = it->second.written;
-  sides_.issuer.Cut(leg);  // what has come of it by now is taken first, and may have ended it
-  LegEnded(leg, {written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
+  sides_.issuer.Cut(attempt);  // what has come of it by now is taken first, and may have ended it
+  AttemptEnded(attempt, {written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
 }
 
 // ---- ends ----
@@ -448,8 +450,8 @@
   if (it == held_.end()) return;
   if (const journal::Entry* const entry = journal_.Find(id)) {
     const Time left = it->second.ends_at - sides_.clock.Now();
-    const Time whole = WholeTimeOf(entry->authorisation);
-    counters_.given_up_untried += it->second.untried && entry->legs == 0 && 10 * left > whole;
+    const Time whole = WholeTimeOf(entry->message);
+    counters_.given_up_untried += it->second.untried && entry->attempts == 0 && 10 * left > whole;
     const bool early = 10 * left > 3 * whole;
     counters_.returned_early += early && !entry->first_risk;
   }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -1,4 +1,4 @@
-// The core: authorisations, their legs and ends, round the decision module. It knows no protocol and no
+// The core: messages, their attempts and ends, round the decision module. It knows no protocol and no
 // socket; what it decides itself is nothing but order: what is on record before what is told.
 #pragma once
 
@@ -35,22 +35,23 @@
         Counters& counters);
 
   // First of all: the list as last had, then what the journal still owes. With what another process gave
-  // over, `known` is passed by for its table, and the legs that are out there end by LegEnded like others.
+  // over, `known` is passed by for its table, and the attempts that are out there end by AttemptEnded like
+  // others.
   void Recover(const RoutingChange& known, const Estate* taken = nullptr);
 
-  // To give over to another process. Everybody who waits is answered, legs not yet written are taken back,
-  // and what is left is told; Turn and all else go on as before until Given.
+  // To give over to another process. Everybody who waits is answered, attempts not yet written are taken
+  // back, and what is left is told; Turn and all else go on as before until Given.
   Estate Freeze();
-  // From now on all is the other process's but the legs that are out, whose ends `told` hears; the journal is
-  // released.
-  using Told = std::function<void(const std::string& id, const LegEnd& end)>;
+  // From now on all is the other process's but the attempts that are out, whose ends `told` hears; the
+  // journal is released.
+  using Told = std::function<void(const std::string& id, const AttemptEnd& end)>;
   void Given(Told told);
   bool given() const { return told_ != nullptr; }
-  // Once given: the other process wants that leg ended here. No end is told for it.
+  // Once given: the other process wants that attempt ended here. No end is told for it.
   void CutGiven(const std::string& id);
 
   // From the acquirer side. Answered through `from`, later or at once.
-  void Submit(journal::Authorisation authorisation, Acquirer& from);
+  void Submit(journal::Message message, Acquirer& from);
   void Withdraw(Acquirer& from);
   // Whether clients may name it.
   bool KnowsClass(const std::string& name) const { return classes_.Current(name) >= 0; }
@@ -59,12 +60,12 @@
   // Whether any list so far named a host of it. Also true before the first list: then nothing can be told.
   bool KnowsDestination(wheathub::DestinationId id) const { return named_.empty() || named_.count(id) > 0; }
 
-  // From the issuer side. A leg whose begin can't be recorded must not be written.
-  bool LegWriting(const LegId& leg, const std::string& host, int zone);
-  void LegEnded(const LegId& leg, const LegEnd& end);
+  // From the issuer side. An attempt whose begin can't be recorded must not be written.
+  bool AttemptWriting(const AttemptId& attempt, const std::string& host, int zone);
+  void AttemptEnded(const AttemptId& attempt, const AttemptEnd& end);
 
-  // The leg of that authorisation that is out; number -1 if none is.
-  LegId LegOf(const std::string& id) const;
+  // The attempt of that message that is out; number -1 if none is.
+  AttemptId AttemptOf(const std::string& id) const;
 
   // From discovery and the platform.
   void RoutingChanged(const RoutingChange& change);
@@ -82,7 +83,7 @@
 
   // One batch of events through the module, its actions in order.
   void Turn();
-  // From now on nothing new is sent; legs that are out still end, on record.
+  // From now on nothing new is sent; attempts that are out still end, on record.
   void Settle();
 
   std::size_t held() const { return held_.size(); }
@@ -103,14 +104,14 @@
     bool written = false;
   };
   struct Fresh {
-    journal::Authorisation authorisation;
+    journal::Message message;
     std::vector<Acquirer*> from;
     Time ends_at{0};
   };
 
   void Step(Time now);
   void Tell(const RoutingChange& change);
-  int ClassOf(const journal::Authorisation& authorisation);
+  int ClassOf(const journal::Message& message);
   void Wake();
   void Queue(wheathub::Event event);
   wheathub::Message MessageOf(const journal::Entry& entry);
@@ -118,9 +119,9 @@
   bool TakeOn(const Fresh& fresh);
   void End(const std::string& id, const journal::Ending& ending);
   void TellEnd(const std::string& id, const journal::Ending& ending);
-  void Count(const LegEnd& end);
+  void Count(const AttemptEnd& end);
   void TakeBackUnwritten();
-  LegOrder OrderOf(const wheathub::Send& send, const Held& held) const;
+  AttemptOrder OrderOf(const wheathub::Send& send, const Held& held) const;
 
   void Do(const wheathub::Send& send);
   void Do(const wheathub::Refuse& refuse);
@@ -153,7 +154,7 @@
   std::set<wheathub::DestinationId> named_;
   std::map<std::string, Fresh> fresh_;  // handed in since the last turn
   std::map<std::string, Held> held_;
-  std::map<LegId, Out> out_;
+  std::map<AttemptId, Out> out_;
   bool settled_ = false;
   Told told_;  // set once all is given over
 };
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -142,7 +142,7 @@
   CHECK(other.Notice(17s, false).End(18s) == Rules{"lost"});
 }
 
-TEST_CASE("checker: two legs at once", "[checker]") {
+TEST_CASE("checker: two attempts at once", "[checker]") {
   CHECK(Stream().Call(20ms).Call(30ms, "b").Answer(40ms, 200, 0ms, "b").Answer(50ms, 200).End() ==
         Rules{"two-legs"});
   CHECK(Stream().Call(20ms).Drop(30ms).Call(30ms, "b").Answer(40ms, 200, 0ms, "b").End() == Rules{});
--- a/tests/lab/issuer_test.cpp
+++ b/tests/lab/issuer_test.cpp
@@ -105,7 +105,7 @@
       relay.RoutingChanged(HostAt(new_place.address(), wheathub::ListScope::kChanges));
     };
     relay.Recover(HostAt(old_place.address(), wheathub::ListScope::kRemembered));
-    journal::Authorisation a;
+    journal::Message a;
     a.id = "m";
     a.key = "k";
     a.class_name = "outbound";
@@ -117,7 +117,7 @@
     CHECK(moved);
     CHECK(old_place.bytes.empty());
     CHECK(new_place.bytes.find("X-Request-ID: m") != std::string::npos);
-    CHECK(counters.legs_held_back == 1);
+    CHECK(counters.attempts_held_back == 1);
   }
   std::filesystem::remove_all(folder);
 }
--- a/tests/relay/control_test.cpp
+++ b/tests/relay/control_test.cpp
@@ -72,7 +72,7 @@
   REQUIRE(client.Line() == "+OK");
   const HttpRequest call = r.world.NextCall();
   CHECK(r.Ask({{"op", "drain"}}).at("phase") == "paused");
-  // The door closes and the client is sent away, while the leg is still out.
+  // The door closes and the client is sent away, while the attempt is still out.
   r.world.Until([&] { return Socket::Connect(r.relay.port()).fd() < 0; });
   r.UntilStatus("clients", 0);
   const Json waiting = r.Ask({{"op", "status"}});
--- a/tests/relay/door_test.cpp
+++ b/tests/relay/door_test.cpp
@@ -202,7 +202,7 @@
   CHECK(r.Ask("include a") == "done");
 }
 
-TEST_CASE("a leg that is out at a host taken out is finished, and nothing new goes there") {
+TEST_CASE("an attempt that is out at a host taken out is finished, and nothing new goes there") {
   Doored r(1);
   r.relay.Start();
   Client client(r.relay);
@@ -219,7 +219,7 @@
   CHECK(r.world.NextCall().id() == "new");
 }
 
-TEST_CASE("a leg still connecting when its host is taken out is not written") {
+TEST_CASE("an attempt still connecting when its host is taken out is not written") {
   Doored r(1);
   // Room for one connection that nobody has accepted, and a stranger in it.
   const Socket narrow = Socket::Listen(0);
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -97,8 +97,8 @@
   for (std::size_t cut = 0; cut < all.size(); ++cut) {
     CHECK_THROWS_AS(FromPieces(all.substr(0, cut)), std::invalid_argument);
   }
-  const std::string packet = ToBytes(LegEnded{"m", {wheathub::Outcome::kRefused, false, 5s}});
-  CHECK(std::get<LegEnded>(FromBytes(packet)).end.told_wait == 5s);
+  const std::string packet = ToBytes(AttemptEnded{"m", {wheathub::Outcome::kRefused, false, 5s}});
+  CHECK(std::get<AttemptEnded>(FromBytes(packet)).end.told_wait == 5s);
   for (std::size_t cut = 0; cut < packet.size(); ++cut) {
     CHECK_THROWS_AS(FromBytes(packet.substr(0, cut)), std::invalid_argument);
   }
@@ -137,7 +137,7 @@
   CHECK(r.old.WaitForEnd() == 0);
 }
 
-TEST_CASE("legs that are out end in the old process, and what follows is the new one's") {
+TEST_CASE("attempts that are out end in the old process, and what follows is the new one's") {
   Upgrade r;
   r.old.Start();
   Client client(r.old);
@@ -195,7 +195,7 @@
   const auto told = Clock::now();
   r.world.Answer(r.world.NextCall(), "503 Full", "Retry-After: 1.2\r\n");
   r.world.Until([&] { return client.Counters()["refused"] == 1; });
-  // A leg keeps the old process alive.
+  // An attempt keeps the old process alive.
   r.Over();
   client.Put("second-b", "x", 8000, ",k=k3,dest=8");
   REQUIRE(client.Line() == "+OK");
@@ -208,7 +208,7 @@
   CHECK(after.id() == "held-a");
 }
 
-TEST_CASE("the old process's door passes an operator's call on while legs are out there") {
+TEST_CASE("the old process's door passes an operator's call on while attempts are out there") {
   Upgrade r;
   r.old.Start();
   Client client(r.old);
@@ -224,7 +224,7 @@
   CHECK(r.old.WaitForEnd() == 0);
 }
 
-TEST_CASE("the old process killed with a leg out: it may have run, and goes on by the rules") {
+TEST_CASE("the old process killed with an attempt out: it may have run, and goes on by the rules") {
   Upgrade r;
   r.old.Start();
   Client client(r.old);
@@ -232,7 +232,7 @@
   REQUIRE(client.Line() == "+OK");
   r.world.NextCall();
   r.Over();
-  CHECK_FALSE(r.world.CallWithin(200ms));  // one leg at a time
+  CHECK_FALSE(r.world.CallWithin(200ms));  // one attempt at a time
   r.old.Signal(SIGKILL);
   r.old.WaitForEnd();
   const HttpRequest again = r.world.NextCall();
@@ -392,7 +392,7 @@
   r.next.UntilLog(": reloaded");
   r.old.UntilLog("given over");
   r.old.Signal(SIGTERM);
-  // It stays for its leg, well within the time it has.
+  // It stays for its attempt, well within the time it has.
   r.world.Answer(call, "200 OK");
   CHECK(r.old.WaitForEnd() == 0);
   r.world.Until([&] { return r.Counter(r.next, "delivered") == 1; });
@@ -422,7 +422,7 @@
 
 // Kills on either side of a handover, under load and with a host taken out. The step is one of the program's
 // own words, so that each is met; what is out at that moment is drawn.
-TEST_CASE("kills on either side of handovers: all that was taken on ends once, one leg at a time") {
+TEST_CASE("kills on either side of handovers: all that was taken on ends once, one attempt at a time") {
   struct Kill {
     bool old;
     const char* after;  // that word in the log of old and new process together
@@ -438,7 +438,7 @@
     r.old.Start();
     REQUIRE(r.Ask(r.old_door, "exclude b") == "done");
     std::set<std::string> accepted, delivered;
-    std::map<std::string, const Socket*> out;  // legs, by the connection on which they came
+    std::map<std::string, const Socket*> out;  // attempts, by the connection on which they came
     std::vector<HttpRequest> waiting;
     const auto open = [](const Socket& socket) {
       char byte = 0;
@@ -471,7 +471,7 @@
       }
     };
     put(8 + static_cast<int>(random() % 6), "before-");
-    r.world.Until([&] {  // it has read what was answered: the legs that are out are those known here
+    r.world.Until([&] {  // it has read what was answered: the attempts that are out are those known here
       pump(5);
       return r.Counter(r.old, "out") == static_cast<long>(out.size());
     });
--- a/tests/relay/list_crossing_test.cpp
+++ b/tests/relay/list_crossing_test.cpp
@@ -60,10 +60,10 @@
   CHECK(l.HostsOf(client, 4) == kOnlyA);
   l.world.Tell({{"version", 51}, {"full", false}, {"servers", {l.As("a", "Gone")}}});
   l.UntilCount(client, "list_changes", changes + 2);
-  const long legs = client.Counters()["legs"];
+  const long attempts = client.Counters()["legs"];
   client.Put("kept");
   REQUIRE(client.Line() == "+OK");
-  CHECK(client.Counters()["legs"] == legs);  // the step that took it on would have sent it
+  CHECK(client.Counters()["legs"] == attempts);  // the step that took it on would have sent it
   // The same version again is no older one.
   l.world.Tell({{"version", 51}, {"full", false}, {"servers", {l.As("b", "Ready")}}});
   const HttpRequest call = l.world.NextCall();
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -33,7 +33,7 @@
 
 // ---- the plain way ----
 
-TEST_CASE("an authorisation is taken on, sent unchanged and counted as delivered") {
+TEST_CASE("a message is taken on, sent unchanged and counted as delivered") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay);
@@ -51,7 +51,7 @@
   CHECK(r.world.notices.empty());
 }
 
-TEST_CASE("an id that is held gets its OK again and no second leg") {
+TEST_CASE("an id that is held gets its OK again and no second attempt") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay), other(r.relay);
@@ -124,7 +124,7 @@
   r.UntilOver(client, "delivered", 1);
 }
 
-TEST_CASE("410 ends an authorisation, 504 leaves its end owed") {
+TEST_CASE("410 ends a message, 504 leaves its end owed") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay);
@@ -142,7 +142,7 @@
   CHECK(r.world.notices.empty());
 }
 
-TEST_CASE("a leg that may have run is repeated in the same room only") {
+TEST_CASE("an attempt that may have run is repeated in the same room only") {
   Relayed r(2);
   r.relay.Start();
   Client client(r.relay);
@@ -174,7 +174,7 @@
   CHECK(client.Counters()["reset"] == 0);
 }
 
-TEST_CASE("a leg without an answer is cut at the deadline and ends as undeliverable in time") {
+TEST_CASE("an attempt without an answer is cut at the deadline and ends as undeliverable in time") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay);
@@ -225,9 +225,9 @@
   CHECK(client.Counters()["legs"] == 4);
 }
 
-// Guards against a leg that waits for its deadline, and against taking a spoilt 503 for a call that never
-// ran: its repeat would go to the other room, where nobody drops it.
-TEST_CASE("any other spoilt answer ends its leg soon, as one that may have run") {
+// Guards against an attempt that waits for its deadline, and against taking a spoilt 503 for a call that
+// never ran: its repeat would go to the other room, where nobody drops it.
+TEST_CASE("any other spoilt answer ends its attempt soon, as one that may have run") {
   for (const std::string spoilt : {"\x01\x02 noise\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Head: that does not en",
                                    "HTTP/1.1 503 Full\r\nContent-Length: 90\r\n\r\nshort", "HTTP/1.1 20"}) {
     Relayed r(2);
@@ -249,7 +249,7 @@
 }
 
 TEST_CASE(
-    "interim answers and reports that make no sense leave an answer good; what follows it ends no leg") {
+    "interim answers and reports that make no sense leave an answer good; what follows it ends no attempt") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay);
@@ -536,7 +536,7 @@
 }
 
 // Guards against sending what nobody was told is taken on: its client hands it in elsewhere.
-TEST_CASE("a client that is gone before its answer withdraws the authorisation") {
+TEST_CASE("a client that is gone before its answer withdraws the message") {
   Relayed r;
   r.relay.Start();
   Client watcher(r.relay);
@@ -554,8 +554,8 @@
   CHECK(watcher.Counters()["taken_on"] == 0);
 }
 
-// Guards against a relay without descriptors left for its legs.
-TEST_CASE("more clients than there is room for cost nobody his legs") {
+// Guards against a relay without descriptors left for its attempts.
+TEST_CASE("more clients than there is room for cost nobody his attempts") {
   Relayed r;
   // The deployment's own figure is larger than what the system gives.
   r.relay.in_child = [] {
@@ -589,7 +589,7 @@
   }
 }
 
-// A host with room for one connection that nobody has accepted: a stranger in it keeps a leg connecting.
+// A host with room for one connection that nobody has accepted: a stranger in it keeps an attempt connecting.
 struct Narrow {
   Socket listener = Socket::Listen(0);
   Socket stranger;
@@ -599,15 +599,15 @@
     world.SetPort("narrow", listener.port());
   }
   void Fill() { stranger = Socket::Connect(listener.port()); }
-  // Lets the stranger in, and then the leg's connection, which its system tries again.
-  Socket AcceptLeg() {
+  // Lets the stranger in, and then the attempt's connection, which its system tries again.
+  Socket AcceptAttempt() {
     const Socket first = listener.Accept(5s);
     return listener.Accept(5s);
   }
 };
 
 // A drain is counted from a send's first byte, which a slow connection writes long after the decision.
-TEST_CASE("a leg that still connects when its host drains is not written") {
+TEST_CASE("an attempt that still connects when its host drains is not written") {
   Relayed r;
   Narrow narrow(r.world);
   narrow.Fill();
@@ -621,14 +621,14 @@
   r.world.SetState("narrow", "Terminating");
   r.UntilOver(client, "list_changes", changes + 1);
   r.world.CallWithin(150ms);  // past the slack that a drain allows
-  const Socket late = narrow.AcceptLeg();
+  const Socket late = narrow.AcceptAttempt();
   REQUIRE(late.fd() >= 0);
   CHECK(late.Receive(1500ms).empty());
   CHECK(client.Counters()["legs_held_back"] == 1);
 }
 
-// A wait runs for all messages, also for one whose leg was decided before and connects after.
-TEST_CASE("a leg that still connects when its host tells a wait is not written") {
+// A wait runs for all messages, also for one whose attempt was decided before and connects after.
+TEST_CASE("an attempt that still connects when its host tells a wait is not written") {
   Relayed r;
   Narrow narrow(r.world);
   r.relay.Start();
@@ -644,7 +644,7 @@
   first.Send("HTTP/1.1 429 Full\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
   r.UntilOver(client, "refused", 1);
   r.world.CallWithin(100ms);  // past the slack that a wait allows
-  const Socket late = narrow.AcceptLeg();
+  const Socket late = narrow.AcceptAttempt();
   REQUIRE(late.fd() >= 0);
   CHECK(late.Receive(500ms).empty());
   CHECK(client.Counters()["legs_held_back"] == 1);
@@ -826,7 +826,7 @@
   CHECK(r.relay.log().find("delivered=2") != std::string::npos);
 }
 
-TEST_CASE("SIGTERM with a leg that gets no answer: the end comes in time, the next process goes on") {
+TEST_CASE("SIGTERM with an attempt that gets no answer: the end comes in time, the next process goes on") {
   Relayed r;
   r.relay.Start();
   {
