--- a/src/apps/oxbowfloor.cpp
+++ b/src/apps/oxbowfloor.cpp
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "acquirer/command.hpp"
+#include "client/command.hpp"
 #include "net/connection.hpp"
 #include "net/loop.hpp"
 #include "proto/resp.hpp"
@@ -81,7 +81,7 @@
   }
 
   void Put(std::vector<std::string> command, Client& from) {
-    const journal::Message a = acquirer::ReadPut(std::move(command), net::Loop::UnixNow());
+    const journal::Message a = client::ReadPut(std::move(command), net::Loop::UnixNow());
     Write(a.body.size() + 100);
     from.Say("+OK\r\n");
     Write(kRecord);
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -12,8 +12,8 @@
 #include <optional>
 #include <sstream>
 
-#include "acquirer/acquirer.hpp"
 #include "apps/arguments.hpp"
+#include "client/clients.hpp"
 #include "config/config.hpp"
 #include "control/server.hpp"
 #include "door/door.hpp"
@@ -167,12 +167,12 @@
       }
       case Phase::kServing:
         // Not before: whoever can connect is answered, and a PING must mean that all is ready.
-        if (acquirers_) {
-          acquirers_->OpenDoor();
+        if (clients_) {
+          clients_->OpenDoor();
         } else {
-          acquirers_.emplace(loop_, AddressOf("listen", config_.listen), config_.listen_fd,
-                             config_.most_clients(), relay_, counters_, [this] { return Text(); });
-          for (const acquirer::Passed& client : start_.clients) acquirers_->TakeUp(client);
+          clients_.emplace(loop_, AddressOf("listen", config_.listen), config_.listen_fd,
+                           config_.most_clients(), relay_, counters_, [this] { return Text(); });
+          for (const client::Passed& client : start_.clients) clients_->TakeUp(client);
           start_.clients.clear();
           if (config_.listen_fd >= 0) OpenHandover();
         }
@@ -187,7 +187,7 @@
         break;
       case Phase::kSettling:
         relay_.Settle();
-        if (acquirers_) acquirers_->SendAway();
+        if (clients_) clients_->SendAway();
         break;
       case Phase::kGiven:
         step_.After(kLookEach);
@@ -205,13 +205,13 @@
     if (phases_.now() == Phase::kGiven) return LookGiven();
     const net::Time since = net::Loop::Now() - asked_at_;
     drain_ms_ = since / 1ms;
-    if (!std::exchange(door_closed_, true)) acquirers_->CloseDoor();
+    if (!std::exchange(door_closed_, true)) clients_->CloseDoor();
     if (phases_.now() == Phase::kPaused) return LookPaused(since);
-    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
+    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, clients_->quiet_since());
     const bool empty = relay_.done() && relay_.out() == 0 && quiet >= kDoorOpen;
     if (empty || since >= kSettleAt) phases_.Enter(Phase::kSettling);
     // What a client has begun is answered, and its answer reaches it: both take no longer than it does.
-    const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0 && acquirers_->clients() == 0;
+    const bool settled = phases_.now() == Phase::kSettling && relay_.out() == 0 && clients_->clients() == 0;
     if (settled || since >= kStopAt) return End();
     step_.After(kLookEach);
   }
@@ -224,16 +224,16 @@
 
   // An operator's drain: clients leave as at the end, but nothing hurries what is held.
   void LookPaused(net::Time since) {
-    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, acquirers_->quiet_since());
+    const net::Time quiet = net::Loop::Now() - std::max(asked_at_, clients_->quiet_since());
     if (since >= kSettleAt || quiet >= kDoorOpen) {
       sent_away_ = true;
-      acquirers_->SendAway();  // again and again: one that was asking may rest by now
+      clients_->SendAway();  // again and again: one that was asking may rest by now
     }
     step_.After(kPausedLookEach);
   }
   // Nobody can hand anything in, and nothing is owed any more.
   bool settled() const {
-    return phases_.now() == Phase::kPaused && sent_away_ && acquirers_->clients() == 0 && relay_.done() &&
+    return phases_.now() == Phase::kPaused && sent_away_ && clients_->clients() == 0 && relay_.done() &&
            relay_.out() == 0;
   }
 
@@ -256,11 +256,11 @@
     estate.waits = issuer_.Waits();
     return estate;
   }
-  std::vector<acquirer::Passed> Clients() const override { return acquirers_->passed(); }
+  std::vector<client::Passed> Clients() const override { return clients_->passed(); }
   int LockFd() const override { return start_.lock->fd(); }
   void Given() override {
     relay_.Given([this](const std::string& id, const relay::AttemptEnd& end) { old_->Tell(id, end); });
-    acquirers_.reset();
+    clients_.reset();
     discovery_.Stop();
     notices_.Stop();
     issuer_.CloseAllIdle();
@@ -344,7 +344,7 @@
                             {"stamp", options_.stamp},
                             {"state", config_.state},
                             {"listen", config_.listen},
-                            {"clients", acquirers_ ? acquirers_->clients() : 0},
+                            {"clients", clients_ ? clients_->clients() : 0},
                             {"held", relay_.held()},
                             {"out", relay_.out()}};
     const relay::Counters& c = counters_;
@@ -378,7 +378,7 @@
       counters_.reloads += 1;
       std::cout << config_.name << ": reloaded, discovery at " << config_.discovery << std::endl;
       issuer_.SetLimits(LimitsOf(config_));
-      if (acquirers_) acquirers_->SetMost(config_.most_clients());
+      if (clients_) clients_->SetMost(config_.most_clients());
       if (old == config_.discovery) return std::nullopt;
       discovery_.MoveTo(discovery, config_.discovery);
       notices_.MoveTo(discovery, config_.discovery);
@@ -412,7 +412,7 @@
   routing::Discovery discovery_;
   notice::Poster notices_;
   relay::Relay relay_;
-  std::optional<acquirer::Acquirers> acquirers_;
+  std::optional<client::Clients> clients_;
   net::Signal end_, interrupt_, report_, reload_;
   net::Timer step_;
   net::Time asked_at_{0};
--- a/src/acquirer/acquirer.cpp
+++ b/src/client/clients.cpp
@@ -1,4 +1,4 @@
-#include "acquirer/acquirer.hpp"
+#include "client/clients.hpp"
 
 #include <strings.h>
 #include <unistd.h>
@@ -8,9 +8,9 @@
 #include <tuple>
 #include <utility>
 
-#include "acquirer/command.hpp"
+#include "client/command.hpp"
 
-namespace oxbowspread::acquirer {
+namespace oxbowspread::client {
 namespace {
 
 using namespace std::chrono_literals;
@@ -36,7 +36,7 @@
 
 // ---- one client ----
 
-Client::Client(net::Loop& loop, int fd, Acquirers& all)
+Client::Client(net::Loop& loop, int fd, Clients& all)
     : loop_(loop),
       all_(all),
       connection_(loop, fd, *this, kRing),
@@ -190,8 +190,8 @@
 
 // ---- all clients ----
 
-Acquirers::Acquirers(net::Loop& loop, const net::Address& address, int inherited, std::size_t most,
-                     relay::Relay& relay, relay::Counters& counters, Report report)
+Clients::Clients(net::Loop& loop, const net::Address& address, int inherited, std::size_t most,
+                 relay::Relay& relay, relay::Counters& counters, Report report)
     : loop_(loop),
       address_(address),
       inherited_(inherited),
@@ -202,7 +202,7 @@
   OpenDoor();
 }
 
-std::vector<Passed> Acquirers::passed() const {
+std::vector<Passed> Clients::passed() const {
   std::vector<Passed> all;
   for (const auto& [client, owned] : clients_) {
     if (client->open()) all.push_back(client->passed());
@@ -210,14 +210,14 @@
   return all;
 }
 
-void Acquirers::TakeUp(const Passed& passed) {
+void Clients::TakeUp(const Passed& passed) {
   counters_.clients += 1;
   auto client = std::make_unique<Client>(loop_, passed.fd, *this);
   client->TakeUp(passed);
   clients_.emplace(client.get(), std::move(client));
 }
 
-void Acquirers::Accept(int fd) {
+void Clients::Accept(int fd) {
   // Descriptors are shared with the issuer side: clients may not take them all.
   // Room is kept before it runs out: the platform's clients open no more than their share, so one who stays
   // and asks nothing keeps another from asking long before this side's own limit is reached.
@@ -236,7 +236,7 @@
 // A flood must not crowd out those who ask: first go connections that have not asked for long, then idle
 // ones, whose clients come again when they need to; of commands on their way the one that has not come on for
 // longest; never one that waits for its answer.
-bool Acquirers::MakeRoom(Client::Claim most) {
+bool Clients::MakeRoom(Client::Claim most) {
   const net::Time now = net::Loop::Now();
   std::vector<std::tuple<Client::Claim, net::Time, Client*>> all;
   for (const auto& [client, owned] : clients_) {
@@ -258,7 +258,7 @@
   return true;
 }
 
-void Acquirers::Leave(Client& client) {
+void Clients::Leave(Client& client) {
   const auto it = clients_.find(&client);
   if (it == clients_.end()) return;
   loop_.Dispose(std::move(it->second));
@@ -269,12 +269,12 @@
 // its share of the load to the other relays, which have slots for their own.
 // Those that have connected and wait to be taken would be reset with the listener; where somebody else holds
 // it they are left for whoever comes next.
-void Acquirers::CloseDoor() {
+void Clients::CloseDoor() {
   if (listener_ && inherited_ < 0) listener_->AcceptWaiting(kMostWaiting);
   listener_.reset();
 }
 
-void Acquirers::OpenDoor() {
+void Clients::OpenDoor() {
   const auto accepted = [this](int fd) { Accept(fd); };
   if (!listener_ && inherited_ >= 0) {
     listener_.emplace(loop_, inherited_, accepted);
@@ -284,11 +284,11 @@
   closing_ = false;
 }
 
-void Acquirers::SendAway() {
+void Clients::SendAway() {
   closing_ = true;
   std::vector<Client*> all;
   for (const auto& [client, owned] : clients_) all.push_back(client);
   for (Client* client : all) client->SendAway();
 }
 
-}  // namespace oxbowspread::acquirer
+}  // namespace oxbowspread::client
--- a/src/acquirer/acquirer.hpp
+++ b/src/client/clients.hpp
@@ -1,4 +1,4 @@
-// The acquirer side: clients that hand in messages over RESP2, and what they are answered.
+// The clients: clients that hand in messages over RESP2, and what they are answered.
 #pragma once
 
 #include <functional>
@@ -14,9 +14,9 @@
 #include "relay/ports.hpp"
 #include "relay/relay.hpp"
 
-namespace oxbowspread::acquirer {
+namespace oxbowspread::client {
 
-class Acquirers;
+class Clients;
 
 // A client as another process goes on with it. Its descriptor stays this one's.
 struct Passed {
@@ -26,9 +26,9 @@
   bool asked = false;
 };
 
-class Client final : public net::Connection::User, public relay::Acquirer {
+class Client final : public net::Connection::User, public relay::Client {
  public:
-  Client(net::Loop& loop, int fd, Acquirers& all);
+  Client(net::Loop& loop, int fd, Clients& all);
 
   bool TakenOn() override;
   void Refused(relay::Time come_again) override;
@@ -60,7 +60,7 @@
   void Watch();
 
   net::Loop& loop_;
-  Acquirers& all_;
+  Clients& all_;
   net::Connection connection_;
   proto::RespParser parser_;
   net::Timer timer_;      // of a command that doesn't get whole, answers that aren't read, or rest
@@ -73,14 +73,14 @@
   net::Time came_at_{0};  // the last bytes; 0: none
 };
 
-class Acquirers {
+class Clients {
  public:
   using Report = std::function<std::string()>;
 
   // Listens at once, at `inherited` if that is a descriptor: a socket that somebody else has bound and keeps.
   // Throws std::system_error.
-  Acquirers(net::Loop& loop, const net::Address& address, int inherited, std::size_t most,
-            relay::Relay& relay, relay::Counters& counters, Report report);
+  Clients(net::Loop& loop, const net::Address& address, int inherited, std::size_t most, relay::Relay& relay,
+          relay::Counters& counters, Report report);
   // All clients, for another process; Relay::Freeze comes before, so that none waits for an answer.
   std::vector<Passed> passed() const;
   // One that another process had. The descriptor is this one's now.
@@ -115,4 +115,4 @@
   std::optional<net::Listener> listener_;
 };
 
-}  // namespace oxbowspread::acquirer
+}  // namespace oxbowspread::client
--- a/src/acquirer/command.cpp
+++ b/src/client/command.cpp
@@ -1,11 +1,11 @@
-#include "acquirer/command.hpp"
+#include "client/command.hpp"
 
 #include <charconv>
 #include <cstdint>
 #include <string_view>
 #include <utility>
 
-namespace oxbowspread::acquirer {
+namespace oxbowspread::client {
 namespace {
 
 constexpr std::size_t kLongestId = 128;
@@ -64,4 +64,4 @@
   return a;
 }
 
-}  // namespace oxbowspread::acquirer
+}  // namespace oxbowspread::client
--- a/src/acquirer/command.hpp
+++ b/src/client/command.hpp
@@ -7,7 +7,7 @@
 
 #include "journal/entry.hpp"
 
-namespace oxbowspread::acquirer {
+namespace oxbowspread::client {
 
 class BadCommand : public std::runtime_error {
  public:
@@ -17,4 +17,4 @@
 // MSG.PUT zeros id names-and-values body. `now` is Unix time. Throws BadCommand.
 journal::Message ReadPut(std::vector<std::string> command, journal::Time now);
 
-}  // namespace oxbowspread::acquirer
+}  // namespace oxbowspread::client
--- a/src/handover/giver.cpp
+++ b/src/handover/giver.cpp
@@ -32,8 +32,8 @@
   const relay::Estate estate = owner_.Freeze();
   std::vector<Outgoing> all;
   for (EstatePiece& piece : Pieces(estate)) all.push_back({std::move(piece), -1});
-  const std::vector<acquirer::Passed> clients = owner_.Clients();
-  for (const acquirer::Passed& client : clients) all.push_back({ClientPassed{client}, client.fd});
+  const std::vector<client::Passed> clients = owner_.Clients();
+  for (const client::Passed& client : clients) all.push_back({ClientPassed{client}, client.fd});
   all.push_back({Offered{clients.size()}, owner_.LockFd()});
   return all;
 }
--- a/src/handover/giver.hpp
+++ b/src/handover/giver.hpp
@@ -24,7 +24,7 @@
     virtual std::optional<std::string> Unable() const = 0;
     // Everybody who waits has been answered; until Given it goes on as if nothing had been.
     virtual relay::Estate Freeze() = 0;
-    virtual std::vector<acquirer::Passed> Clients() const = 0;
+    virtual std::vector<client::Passed> Clients() const = 0;
     virtual int LockFd() const = 0;
     // It owns nothing any more but the attempts that are out.
     virtual void Given() = 0;
--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -14,7 +14,7 @@
 constexpr auto kLookEach = 20ms;   // whether the folder is free by now
 
 void CloseAll(const Taker& taker) {
-  for (const acquirer::Passed& client : taker.clients()) close(client.fd);
+  for (const client::Passed& client : taker.clients()) close(client.fd);
   if (taker.lock_fd() >= 0) close(taker.lock_fd());
 }
 
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -24,7 +24,7 @@
   std::unique_ptr<journal::FolderLock> lock;
   std::optional<Channel> channel;  // nothing: the folder was free, and the rest is empty
   relay::Estate estate;
-  std::vector<acquirer::Passed> clients;
+  std::vector<client::Passed> clients;
 
   std::set<std::string> StillOut() const;
 };
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -90,7 +90,7 @@
   Json operator()(const No& p) const { return Json::array({p.why}); }
   Json operator()(const EstatePiece& p) const { return Json::array({Bytes(p.bytes)}); }
   Json operator()(const ClientPassed& p) const {
-    const acquirer::Passed& c = p.client;
+    const client::Passed& c = p.client;
     return Json::array({Bytes(c.unfinished), Bytes(c.in), Bytes(c.out), c.asked});
   }
   Json operator()(const Offered& p) const { return Json::array({p.clients}); }
--- a/src/handover/record.hpp
+++ b/src/handover/record.hpp
@@ -20,7 +20,7 @@
 #include <variant>
 #include <vector>
 
-#include "acquirer/acquirer.hpp"
+#include "client/clients.hpp"
 #include "relay/estate.hpp"
 #include "relay/ports.hpp"
 
@@ -40,7 +40,7 @@
   std::string bytes;
 };
 struct ClientPassed {
-  acquirer::Passed client;  // its descriptor goes beside the packet
+  client::Passed client;  // its descriptor goes beside the packet
 };
 struct Offered {
   std::size_t clients = 0;
--- a/src/handover/taker.hpp
+++ b/src/handover/taker.hpp
@@ -27,7 +27,7 @@
   const std::string& why() const { return why_; }
   // Once owner. Descriptors are the caller's to close from the first Feed on, whatever the phase ends in.
   const relay::Estate& estate() const { return estate_; }
-  const std::vector<acquirer::Passed>& clients() const { return clients_; }
+  const std::vector<client::Passed>& clients() const { return clients_; }
   int lock_fd() const { return lock_fd_; }
 
  private:
@@ -36,7 +36,7 @@
   Phase phase_ = Phase::kAsked;
   std::string why_, bytes_;
   relay::Estate estate_;
-  std::vector<acquirer::Passed> clients_;
+  std::vector<client::Passed> clients_;
   int lock_fd_ = -1;
 };
 
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-struct Node::Hand final : relay::Acquirer {
+struct Node::Hand final : relay::Client {
   Hand(Node& n, std::uint64_t h) : node(n), number(h) {}
   bool TakenOn() override {
     node.around_.Tell(model::Answered{number, model::Answered::What::kTaken, Time(0)});
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -1,5 +1,5 @@
 // One life of a relay on a virtual clock: the real core, module, journal and host book, with lines to hosts
-// that are numbers instead of sockets. In place of `acquirer`, `issuer::Issuer`, `routing` and `notice`.
+// that are numbers instead of sockets. In place of `client`, `issuer::Issuer`, `routing` and `notice`.
 #pragma once
 
 #include <functional>
--- a/src/relay/ports.hpp
+++ b/src/relay/ports.hpp
@@ -21,9 +21,9 @@
 };
 
 // Who waits for the answer to a message; lives until it is answered or withdrawn.
-class Acquirer {
+class Client {
  public:
-  virtual ~Acquirer() = default;
+  virtual ~Client() = default;
   virtual bool TakenOn() = 0;  // false: the client has gone
   virtual void Refused(Time come_again) = 0;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -147,9 +147,9 @@
   return m;
 }
 
-// ---- the acquirer side ----
+// ---- the clients ----
 
-void Relay::Submit(journal::Message message, Acquirer& from) {
+void Relay::Submit(journal::Message message, Client& from) {
   counters_.messages += 1;
   const std::string id = message.id;
   if (journal_.Find(id) != nullptr) {
@@ -186,7 +186,7 @@
 void Relay::Settle() {
   if (std::exchange(settled_, true)) return;
   for (const auto& [id, fresh] : std::exchange(fresh_, {})) {
-    for (Acquirer* from : fresh.from) from->Refused(kComeAgain);
+    for (Client* from : fresh.from) from->Refused(kComeAgain);
   }
   TakeBackUnwritten();
 }
@@ -202,7 +202,7 @@
   }
 }
 
-void Relay::Withdraw(Acquirer& from) {
+void Relay::Withdraw(Client& from) {
   for (auto it = fresh_.begin(); it != fresh_.end(); ++it) {
     auto& waiting = it->second.from;
     if (std::erase(waiting, &from) == 0 || !waiting.empty()) continue;
@@ -227,7 +227,7 @@
     const auto it = refused.find(id);
     if (it != refused.end()) {
       counters_.busy_by_module += 1;
-      for (Acquirer* from : fresh.from) from->Refused(it->second);
+      for (Client* from : fresh.from) from->Refused(it->second);
     } else if (!TakeOn(fresh)) {
       // The module has it, nobody else: it must forget it, and what it sends now is not sent.
       Queue(wheathub::Withdrawn{id});
@@ -239,11 +239,11 @@
   const journal::Message& a = fresh.message;
   if (!journal_.Accept(a)) {
     counters_.busy_journal += 1;
-    for (Acquirer* from : fresh.from) from->Refused(kComeAgain);
+    for (Client* from : fresh.from) from->Refused(kComeAgain);
     return false;
   }
   bool heard = false;
-  for (Acquirer* from : fresh.from) heard = from->TakenOn() || heard;
+  for (Client* from : fresh.from) heard = from->TakenOn() || heard;
   if (!heard) {
     counters_.withdrawn += 1;
     journal_.Close(a.id);
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -50,9 +50,9 @@
   // Once given: the other process wants that attempt ended here. No end is told for it.
   void CutGiven(const std::string& id);
 
-  // From the acquirer side. Answered through `from`, later or at once.
-  void Submit(journal::Message message, Acquirer& from);
-  void Withdraw(Acquirer& from);
+  // From the clients. Answered through `from`, later or at once.
+  void Submit(journal::Message message, Client& from);
+  void Withdraw(Client& from);
   // Whether clients may name it.
   bool KnowsClass(const std::string& name) const { return classes_.Current(name) >= 0; }
   // A keyed class is of no use without its key: a repeat would run twice.
@@ -105,7 +105,7 @@
   };
   struct Fresh {
     journal::Message message;
-    std::vector<Acquirer*> from;
+    std::vector<Client*> from;
     Time ends_at{0};
   };
 
--- a/tests/lab/issuer_test.cpp
+++ b/tests/lab/issuer_test.cpp
@@ -52,7 +52,7 @@
 class Sides final : public relay::Clock,
                     public relay::RoutingTable,
                     public relay::Notices,
-                    public relay::Acquirer {
+                    public relay::Client {
  public:
   explicit Sides(net::Loop& loop) : turn_(loop, [this] { on_turn(); }) {}
   net::Time Now() const override { return net::Loop::Now(); }
