--- a/tests/group/engine_test.cpp
+++ b/tests/group/engine_test.cpp
@@ -309,7 +309,7 @@
   for (const char* name : {"n2", "n3", "n4"}) CHECK(m.all[name].stamp == "v1@first");
 }
 
-TEST_CASE("a configuration that refuses more fails its gate; all that were turned go back, last first") {
+TEST_CASE("a configuration that refuses more fails its gate: all that were turned go back, last first") {
   Model m(4, Quick());
   m.limits.least_sample = 20;
   m.engine.emplace(m.members, m.limits);
--- a/tests/group/files_test.cpp
+++ b/tests/group/files_test.cpp
@@ -263,7 +263,7 @@
 
 // ---- frames ----
 
-TEST_CASE("frames are read at any cut; what is no object, or too long, ends the stream for good") {
+TEST_CASE("frames are read at any cut: what is no object, or too long, ends the stream for good") {
   control::FrameReader r(64);
   const std::string text = control::Frame({{"a", 1}}) + control::Frame({{"b", "x\ny"}});
   std::vector<control::Json> got;
--- a/tests/group/keeper_test.cpp
+++ b/tests/group/keeper_test.cpp
@@ -195,7 +195,7 @@
   CHECK(h.stamp == "v3@c2.1");
 }
 
-TEST_CASE("a reload keeps the process; one that is refused is a fault and restarts nothing") {
+TEST_CASE("a reload keeps the process: one that is refused is a fault and restarts nothing") {
   Host h;
   h.Run(1s);
   const auto pid = h.pid;
--- a/tests/relay/crossing_test.cpp
+++ b/tests/relay/crossing_test.cpp
@@ -111,8 +111,13 @@
     const HttpRequest late = c.world.NextCall(), soon = c.world.NextCall();
     REQUIRE(late.id() == "late");
     c.world.Answer(soon, "200 OK");
+    c.UntilCount(client, "delivered", 1);
+    // Whenever the relay goes on from here, before its time-out or after it, the answer has come.
+    c.relay.Halt();
     c.Pass(put + 1200ms - Clock::now());
     c.world.Answer(late, "200 OK");
+    late.from->UntilTaken();
+    c.relay.GoOn();
     c.UntilCount(client, "delivered", 2);
     CHECK(client.Counters()["undeliverable"] == 0);
     CHECK(client.Counters()["held"] == 0);
--- a/tests/relay/endpoint_crossing_test.cpp
+++ b/tests/relay/endpoint_crossing_test.cpp
@@ -62,7 +62,7 @@
 }
 
 TEST_CASE(
-    "a connection that comes up late carries its call once; one that never does is given up for another") {
+    "a connection that comes up late carries its call once: one that never does is given up for another") {
   Crossing c;
   Narrow narrow(c.world, "narrow", 8);
   c.relay.config["settings"]["limits"]["connect-timeout-s"] = 2.5;
--- a/tests/relay/list_crossing_test.cpp
+++ b/tests/relay/list_crossing_test.cpp
@@ -45,7 +45,7 @@
 const std::set<std::string> kOnlyA = {"a"};
 
 // Guards against hosts that drain and come back by a discovery that lags behind the one before it.
-TEST_CASE("a list older than what is known is passed over; what is newer counts again") {
+TEST_CASE("a list older than what is known is passed over: what is newer counts again") {
   Listed l;
   l.relay.Start();
   Client client(l.relay);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -249,7 +249,7 @@
 }
 
 TEST_CASE(
-    "interim answers and reports that make no sense leave an answer good; what follows it ends no attempt") {
+    "interim answers and reports that make no sense leave an answer good: what follows it ends no attempt") {
   Relayed r;
   r.relay.Start();
   Client client(r.relay);
--- a/tests/relay/settings_test.cpp
+++ b/tests/relay/settings_test.cpp
@@ -60,7 +60,7 @@
   CHECK(classes.all().size() == 3);
 }
 
-TEST_CASE("SIGHUP adds a class and drops one; what is open keeps the rules under which it was taken on") {
+TEST_CASE("SIGHUP adds a class and drops one: what is open keeps the rules under which it was taken on") {
   Set r;
   Client client(r.relay);
   CHECK(client.Ask(r.Put("early", "second")).substr(0, 4) == "-ERR");
