Order seven tests of crossings by events where a slow machine changed their verdict

Each by real time: a relay already past its 3.55 s leaves a request unread (allowed: the client repeats it; the log's drain_ms must say so), a stop meant for the moment between two log lines came after the end (the relay is stopped by ptrace as it begins to wait), 1 s for an answer to be given up, a repeat called before the last first call, a window of 0.7 s over before the repeat began, clients that rested for too long, 8 s for four asks that may take 6. The end's case fails without its mend as before; the first SIGTERM case does with the loop ended early (drain_ms 1,2xx).

--- a/tests/relay/crossing.hpp
+++ b/tests/relay/crossing.hpp
@@ -2,6 +2,8 @@
 // whose connections come up late.
 #pragma once
 
+#include <catch2/catch.hpp>
+
 #include "rig.hpp"
 
 namespace oxbowspread::testing {
@@ -14,6 +16,10 @@
   void UntilCount(Client& client, const char* counter, long count) {
     world.Until([&] { return client.Counters()[counter] >= count; });
   }
+  // Only a relay that has come to its last moment leaves a whole request unread, for its client to repeat.
+  void UnreadOnlyAtTheEnd(const Client& client) {
+    if (client.unread()) CHECK(relay.DrainMs() >= 3550);
+  }
   // The time passes while the relay stands still.
   void Pass(Clock::duration span) {
     const auto until = Clock::now() + span;
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -142,6 +142,7 @@
   void Signal(int number) const;
   // SIGSTOP, until the process stands; what is done meanwhile waits for it, all at once, when it goes on.
   void Halt();
+  void UntilStopped();
   void GoOn() const { Signal(SIGCONT); }
   void Reload(const std::string& text) const;  // replaces the configuration file, then SIGHUP
   int WaitForEnd();                            // its exit code, or minus the signal
@@ -157,6 +158,7 @@
   const std::string& folder() const { return folder_; }
   pid_t pid() const { return pid_; }
   const std::string& log();  // what it has written so far
+  long DrainMs();            // of one that has ended: from SIGTERM to its last look
 
  private:
   World& world_;
@@ -177,6 +179,10 @@
   void Put(const std::string& id, const std::string& body = "hello", int ms = 8000,
            const std::string& values = ",k=key1,dest=7") const;
   std::string Line();  // the next line of an answer; empty if the relay closed instead
+  // It has closed over bytes that it had not read: the client's to send once more.
+  bool unread() const { return error_ != 0; }
+  // The next answer to MSG.PUT is a word on it, or the relay has ended without having read it.
+  bool AnsweredOrUnread();
   std::string Ask(const std::string& command);
   // The counters as INFO tells them.
   std::map<std::string, long> Counters();
@@ -187,6 +193,7 @@
 
   Socket socket_;
   std::string bytes_;
+  int error_ = 0;
 };
 
 }  // namespace oxbowspread::testing
--- a/tests/relay/tracer.cpp
+++ b/tests/relay/tracer.cpp
@@ -72,6 +72,16 @@
   });
 }
 
+void Tracer::UntilWaiting(const std::function<bool()>& holds) {
+  Until([&](const Call& call) {
+    bool waits = call.number == SYS_epoll_pwait;
+#ifdef SYS_epoll_wait
+    waits = waits || call.number == SYS_epoll_wait;
+#endif
+    return waits && !call.done && holds();
+  });
+}
+
 void Tracer::Detach() {
   if (std::exchange(held_, false)) ptrace(PTRACE_DETACH, pid_, nullptr, signal_);
 }
--- a/tests/relay/tracer.hpp
+++ b/tests/relay/tracer.hpp
@@ -31,6 +31,8 @@
   void UntilJournalled(int records);
   // Bytes have been received on a connection that the process opened to that port.
   void UntilReceivedFrom(int port);
+  // It is about to wait for what comes, and that holds.
+  void UntilWaiting(const std::function<bool()>& holds);
   // It goes on, free.
   void Detach();
   std::string FileOf(int fd) const;  // the path, or "socket:[inode]"
