--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -17,9 +17,9 @@
 #include "config/config.hpp"
 #include "control/server.hpp"
 #include "door/door.hpp"
+#include "endpoint/pool.hpp"
 #include "handover/new_process.hpp"
 #include "handover/old_process.hpp"
-#include "issuer/issuer.hpp"
 #include "journal/folder_lock.hpp"
 #include "journal/journal.hpp"
 #include "net/loop.hpp"
@@ -86,10 +86,10 @@
         discovery_address_(AddressOf("discovery", c.discovery)),
         journal_(c.state, c.disk_bytes, start_.StillOut()),
         clock_(loop_),
-        issuer_(loop_, LimitsOf(c), counters_),
+        endpoints_(loop_, LimitsOf(c), counters_),
         attempts_(
-            loop_, issuer_,
-            [this](const std::string& host, relay::Time wait) { issuer_.ToldWait(host, wait); },
+            loop_, endpoints_,
+            [this](const std::string& host, relay::Time wait) { endpoints_.ToldWait(host, wait); },
             [this](const std::string& word, const std::string& argument) {
               return Operate({word, argument}).value_or("");
             }),
@@ -102,7 +102,7 @@
         reload_(loop_, SIGHUP, [this] { Reload(); }),
         step_(loop_, [this] { Look(); }) {
     clock_.Attach(relay_);
-    issuer_.Attach(relay_);
+    endpoints_.Attach(relay_);
     attempts_.Attach(relay_);
     discovery_.Attach(relay_);
     notices_.Attach(relay_);
@@ -132,7 +132,7 @@
     return names;
   }
 
-  static issuer::Issuer::Limits LimitsOf(const config::Config& c) {
+  static endpoint::Pool::Limits LimitsOf(const config::Config& c) {
     std::vector<bool> apart;
     for (const auto& kind : c.settings.kinds) apart.push_back(kind.routes_apart);
     return {c.most_lines(), c.settings.connect_timeout, c.settings.keepalive, apart};
@@ -152,7 +152,7 @@
         discovery_.Known(taken ? start_.estate.table.revision : known.revision);
         if (taken) attempts_.TakeOver(std::move(*start_.channel), start_.estate.out);
         relay_.Recover(known, taken ? &start_.estate : nullptr);
-        issuer_.TakeWaits(start_.estate.waits);
+        endpoints_.TakeWaits(start_.estate.waits);
         // Lists that are pushed come on a watch too, which nothing asks for but this.
         if (!config_.settings.list_must_be_asked_for) discovery_.Watch();
         if (taken) {
@@ -218,7 +218,7 @@
 
   // An answer that has come by now is on record: after a stop of the process timers are called before reads.
   void End() {
-    issuer_.ReadNow();
+    endpoints_.ReadNow();
     phases_.Enter(Phase::kStopped);
   }
 
@@ -253,7 +253,7 @@
   }
   relay::Estate Freeze() override {
     relay::Estate estate = relay_.Freeze();
-    estate.waits = issuer_.Waits();
+    estate.waits = endpoints_.Waits();
     return estate;
   }
   std::vector<client::Passed> Clients() const override { return clients_->passed(); }
@@ -263,7 +263,7 @@
     clients_.reset();
     discovery_.Stop();
     notices_.Stop();
-    issuer_.CloseAllIdle();
+    endpoints_.CloseAllIdle();
     control_.reset();
     start_.lock->Release();
     phases_.Enter(Phase::kGiven);
@@ -377,7 +377,7 @@
       discovery_.SetNames(NamesOf(config_));
       counters_.reloads += 1;
       std::cout << config_.name << ": reloaded, discovery at " << config_.discovery << std::endl;
-      issuer_.SetLimits(LimitsOf(config_));
+      endpoints_.SetLimits(LimitsOf(config_));
       if (clients_) clients_->SetMost(config_.most_clients());
       if (old == config_.discovery) return std::nullopt;
       discovery_.MoveTo(discovery, config_.discovery);
@@ -407,7 +407,7 @@
   net::Address discovery_address_;
   journal::Journal journal_;
   WallClock clock_;
-  issuer::Issuer issuer_;
+  endpoint::Pool endpoints_;
   handover::Attempts attempts_;
   routing::Discovery discovery_;
   notice::Poster notices_;
--- a/src/apps/oxbowstandin.cpp
+++ b/src/apps/oxbowstandin.cpp
@@ -78,7 +78,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"oxbowstandin: stand-ins for clients, issuer hosts, discovery and the platform, on loopback"};
+  CLI::App app{"oxbowstandin: stand-ins for clients, endpoints, discovery and the platform, on loopback"};
   app.require_subcommand(1);
   standin::SiteOptions site;
   std::vector<std::string> limits;
--- a/src/client/clients.cpp
+++ b/src/client/clients.cpp
@@ -218,7 +218,7 @@
 }
 
 void Clients::Accept(int fd) {
-  // Descriptors are shared with the issuer side: clients may not take them all.
+  // Descriptors are shared with the endpoint side: clients may not take them all.
   // Room is kept before it runs out: the platform's clients open no more than their share, so one who stays
   // and asks nothing keeps another from asking long before this side's own limit is reached.
   if (clients_.size() >= most_ / 2) MakeRoom(Client::Claim::kIdle);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -34,7 +34,7 @@
   std::vector<std::string> zones;  // their names, in the settings' order
 
   // Shares of the descriptors. Clients hold a third for requests, and some more may be about to leave; lines
-  // to issuer hosts get half; the rest is for the journal, the loop, discovery and notices, and a reserve.
+  // to endpoints get half; the rest is for the journal, the loop, discovery and notices, and a reserve.
   static constexpr std::size_t kOwnDescriptors = 16;
   static constexpr std::size_t kDoorDescriptors = 18;  // where there is a door: set apart for it
   std::size_t shared() const { return sockets - kOwnDescriptors - (mgmt.empty() ? 0 : kDoorDescriptors); }
--- a/src/config/shape.hpp
+++ b/src/config/shape.hpp
@@ -9,8 +9,8 @@
 // Throws Error that names the first key at fault, as a path such as "settings.limits.send-cap".
 void CheckShape(const nlohmann::json& running, const nlohmann::json& next);
 
-// What no relay could work with, whatever it runs with: a key that is missing, of another kind or out of range.
-// Keys that the relay doesn't read may hold anything. Throws Error that names the key, as above.
+// What no relay could work with, whatever it runs with: a key that is missing, of another kind or out of
+// range. Keys that the relay doesn't read may hold anything. Throws Error that names the key, as above.
 void CheckSettings(const nlohmann::json& settings);
 
 }  // namespace oxbowspread::config
--- a/src/issuer/hosts.cpp
+++ b/src/endpoint/hosts.cpp
@@ -1,9 +1,9 @@
-#include "issuer/hosts.hpp"
+#include "endpoint/hosts.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 namespace {
 
 using namespace std::chrono_literals;
@@ -143,4 +143,4 @@
   hosts_.erase(it);
 }
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/issuer/hosts.hpp
+++ b/src/endpoint/hosts.hpp
@@ -1,4 +1,4 @@
-// What is known of the issuer hosts, and what may be written to each of them when: drains, told waits, and
+// What is known of the endpoints, and what may be written to each of them when: drains, told waits, and
 // addresses that pass from one host to another. Knows no socket and no clock.
 #pragma once
 
@@ -13,7 +13,7 @@
 #include "relay/estate.hpp"
 #include "relay/ports.hpp"
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 
 struct Host {
   std::string address;
@@ -69,4 +69,4 @@
   std::map<Route, net::Time> waits_;  // until when; those over are dropped as new ones come
 };
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/issuer/line.cpp
+++ b/src/endpoint/line.cpp
@@ -1,11 +1,11 @@
-#include "issuer/line.hpp"
+#include "endpoint/line.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <utility>
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 namespace {
 
 using wheathub::Outcome;
@@ -181,4 +181,4 @@
   Lose();
 }
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/issuer/line.hpp
+++ b/src/endpoint/line.hpp
@@ -1,4 +1,4 @@
-// One connection to an issuer host, which carries one call at a time.
+// One connection to an endpoint, which carries one call at a time.
 #pragma once
 
 #include <memory>
@@ -10,7 +10,7 @@
 #include "proto/http.hpp"
 #include "relay/ports.hpp"
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 
 // A host closes an idle line at its keepalive at the latest, and what is written to it from then on is a
 // reset that may have run: lines are retired after this share of it, while the host surely still holds them.
@@ -94,4 +94,4 @@
 relay::AttemptEnd MeaningOf(const proto::HttpHead& head);
 std::string CallText(const relay::AttemptOrder& order, net::Time left);
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/issuer/issuer.cpp
+++ b/src/endpoint/pool.cpp
@@ -1,9 +1,9 @@
-#include "issuer/issuer.hpp"
+#include "endpoint/pool.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 namespace {
 
 using wheathub::Outcome;
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-Issuer::Issuer(net::Loop& loop, const Limits& limits, relay::Counters& counters)
+Pool::Pool(net::Loop& loop, const Limits& limits, relay::Counters& counters)
     : loop_(loop),
       limits_(limits),
       counters_(counters),
@@ -31,18 +31,18 @@
   sweep_timer_.After(kSweepEach);
 }
 
-void Issuer::SetLimits(const Limits& limits) {
+void Pool::SetLimits(const Limits& limits) {
   limits_ = limits;
   hosts_.SetKinds(limits_.routes_apart);
 }
 
 // ---- hosts ----
 
-void Issuer::Adopt(const relay::RoutingChange& change) {
+void Pool::Adopt(const relay::RoutingChange& change) {
   for (const std::string& id : hosts_.Adopt(change, net::Loop::Now())) CloseIdle(id);
 }
 
-void Issuer::CloseIdle(const std::string& id) {
+void Pool::CloseIdle(const std::string& id) {
   const auto it = pools_.find(id);
   if (it == pools_.end()) return;
   std::vector<Line*> idle;
@@ -52,13 +52,13 @@
   for (Line* const line : idle) Remove(*line);
 }
 
-std::vector<relay::HostWait> Issuer::Waits() const { return hosts_.Waits(net::Loop::Now()); }
+std::vector<relay::HostWait> Pool::Waits() const { return hosts_.Waits(net::Loop::Now()); }
 
-void Issuer::TakeWaits(const std::vector<relay::HostWait>& waits) {
+void Pool::TakeWaits(const std::vector<relay::HostWait>& waits) {
   for (const relay::HostWait& wait : waits) hosts_.TakeWait(wait);
 }
 
-void Issuer::ReadNow() {
+void Pool::ReadNow() {
   std::vector<relay::AttemptId> attempts;
   for (const auto& [attempt, line] : out_) attempts.push_back(attempt);
   for (const relay::AttemptId& attempt : attempts) {
@@ -67,18 +67,18 @@
   }
 }
 
-void Issuer::CloseAllIdle() {
+void Pool::CloseAllIdle() {
   while (!idle_.empty()) Remove(*idle_.begin()->second);
 }
 
 // ---- calls ----
 
-void Issuer::Fail(const relay::AttemptOrder& order, Outcome outcome) {
+void Pool::Fail(const relay::AttemptOrder& order, Outcome outcome) {
   failed_.emplace_back(order.attempt, outcome);
   failed_timer_.After(net::Time(0));
 }
 
-void Issuer::Begin(relay::AttemptOrder order) {
+void Pool::Begin(relay::AttemptOrder order) {
   const Host* const host = hosts_.Find(order.host);
   if (host == nullptr || !host->known) return Fail(order, Outcome::kNoConnection);
   const auto pool = pools_.find(order.host);
@@ -96,7 +96,7 @@
 }
 
 // The line used last, so that those not needed grow old and go.
-Line* Issuer::FreeLine(const Lines& lines) const {
+Line* Pool::FreeLine(const Lines& lines) const {
   Line* best = nullptr;
   const net::Time now = net::Loop::Now();
   for (std::size_t i = lines.size(); i-- > 0;) {
@@ -115,7 +115,7 @@
   return best;
 }
 
-Line* Issuer::NewLine(const std::string& id, const Host& host) {
+Line* Pool::NewLine(const std::string& id, const Host& host) {
   // One gives way, not all: each that is opened anew costs its host a handshake.
   if (lines_ >= limits_.most_lines && !CloseLongestIdle()) return nullptr;
   auto line = std::make_unique<Line>(loop_, static_cast<Line::Owner&>(*this), id, host.to);
@@ -130,14 +130,14 @@
   return lines.back().get();
 }
 
-bool Issuer::CloseLongestIdle() {
+bool Pool::CloseLongestIdle() {
   if (idle_.empty()) return false;
   counters_.lines_evicted += 1;
   Remove(*idle_.begin()->second);
   return true;
 }
 
-std::optional<std::string> Issuer::OnWritable(Line& line) {
+std::optional<std::string> Pool::OnWritable(Line& line) {
   Unlist(line);
   const relay::AttemptOrder& order = line.order();
   const Host* const host = hosts_.Find(line.host());
@@ -151,7 +151,7 @@
   return CallText(order, order.give_up_at - now);
 }
 
-void Issuer::OnEnd(Line& line, const relay::AttemptId& attempt, const relay::AttemptEnd& end) {
+void Pool::OnEnd(Line& line, const relay::AttemptId& attempt, const relay::AttemptEnd& end) {
   const auto it = out_.find(attempt);
   if (it == out_.end() || it->second != &line) return;
   out_.erase(it);
@@ -160,15 +160,15 @@
   relay_->AttemptEnded(attempt, end);
 }
 
-void Issuer::OnFree(Line& line) {
+void Pool::OnFree(Line& line) {
   const Host* const host = hosts_.Find(line.host());
   if (host == nullptr || !host->ready || !host->known || !StandsAt(line, *host)) return Remove(line);
   idle_.emplace(line.free_since(), &line);
 }
 
-void Issuer::OnLost(Line& line) { Remove(line); }
+void Pool::OnLost(Line& line) { Remove(line); }
 
-void Issuer::Cut(const relay::AttemptId& attempt) {
+void Pool::Cut(const relay::AttemptId& attempt) {
   std::erase_if(failed_, [&](const auto& f) { return f.first == attempt; });
   const auto it = out_.find(attempt);
   if (it == out_.end()) return;
@@ -180,7 +180,7 @@
   Remove(line);
 }
 
-void Issuer::Unlist(Line& line) {
+void Pool::Unlist(Line& line) {
   idle_.erase({line.free_since(), &line});
   const auto by = connect_by_.find(&line);
   if (by == connect_by_.end()) return;
@@ -188,7 +188,7 @@
   connect_by_.erase(by);
 }
 
-void Issuer::Remove(Line& line) {
+void Pool::Remove(Line& line) {
   line.Cut();
   const auto pool = pools_.find(line.host());
   if (pool == pools_.end()) return;
@@ -202,7 +202,7 @@
   lines_ -= 1;
 }
 
-void Issuer::Sweep() {
+void Pool::Sweep() {
   sweep_timer_.After(kSweepEach);
   const net::Time now = net::Loop::Now();
   while (!connecting_.empty() && connecting_.begin()->first <= now) {
@@ -225,4 +225,4 @@
   }
 }
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/issuer/issuer.hpp
+++ b/src/endpoint/pool.hpp
@@ -1,4 +1,4 @@
-// The issuer side: a pool of lines for each issuer host, and the calls on them.
+// The endpoint side: a pool of lines for each endpoint, and the calls on them.
 #pragma once
 
 #include <map>
@@ -8,16 +8,16 @@
 #include <utility>
 #include <vector>
 
-#include "issuer/hosts.hpp"
-#include "issuer/line.hpp"
+#include "endpoint/hosts.hpp"
+#include "endpoint/line.hpp"
 #include "net/loop.hpp"
 #include "relay/counters.hpp"
 #include "relay/ports.hpp"
 #include "relay/relay.hpp"
 
-namespace oxbowspread::issuer {
+namespace oxbowspread::endpoint {
 
-class Issuer final : public relay::IssuerSide, private Line::Owner {
+class Pool final : public relay::EndpointSide, private Line::Owner {
  public:
   struct Limits {
     std::size_t most_lines = 256;
@@ -26,7 +26,7 @@
     std::vector<bool> routes_apart;  // by kind: see Hosts::SetKinds
   };
 
-  Issuer(net::Loop& loop, const Limits& limits, relay::Counters& counters);
+  Pool(net::Loop& loop, const Limits& limits, relay::Counters& counters);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
 
   void SetLimits(const Limits& limits);
@@ -80,4 +80,4 @@
   net::Timer sweep_timer_;
 };
 
-}  // namespace oxbowspread::issuer
+}  // namespace oxbowspread::endpoint
--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -68,7 +68,7 @@
   }
 }
 
-Attempts::Attempts(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate)
+Attempts::Attempts(net::Loop& loop, relay::EndpointSide& own, ToldWait told_wait, Operated operate)
     : own_(own),
       told_wait_(std::move(told_wait)),
       operate_(std::move(operate)),
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -39,16 +39,16 @@
 // journal::FolderLocked when neither could be, Refused, std::system_error.
 Start Take(const std::string& folder, Limit limit);
 
-// The issuer side as the new process's core sees it: attempts of its own, and those that go on in the old
+// The endpoint side as the new process's core sees it: attempts of its own, and those that go on in the old
 // process.
-class Attempts final : public relay::IssuerSide {
+class Attempts final : public relay::EndpointSide {
  public:
   using Operated = std::function<std::string(const std::string& word, const std::string& argument)>;
   using ToldWait = std::function<void(const std::string& host, relay::Time wait)>;
 
   // `own` and `relay` must outlast it. `operate` answers calls of operators who came to the old process's
   // door: empty is done.
-  Attempts(net::Loop& loop, relay::IssuerSide& own, ToldWait told_wait, Operated operate);
+  Attempts(net::Loop& loop, relay::EndpointSide& own, ToldWait told_wait, Operated operate);
   void Attach(relay::Relay& relay) { relay_ = &relay; }
   // Before Relay::Recover, which is told of the same attempts.
   void TakeOver(Channel channel, const std::vector<relay::AttemptOut>& out);
@@ -68,7 +68,7 @@
   void End(const std::string& id, const relay::AttemptEnd& end);
   void Lost();
 
-  relay::IssuerSide& own_;
+  relay::EndpointSide& own_;
   ToldWait told_wait_;
   Operated operate_;
   relay::Relay* relay_ = nullptr;
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -5,7 +5,7 @@
 #include <filesystem>
 #include <sstream>
 
-#include "issuer/line.hpp"
+#include "endpoint/line.hpp"
 #include "relay/phase.hpp"
 
 namespace oxbowspread::lab {
@@ -17,10 +17,10 @@
 // The relay's own clocks: never near 0, which some spans use for "not yet".
 constexpr Time kMonotonic = 1000s;
 constexpr Time kUnix = 1'700'000'000s;
-// The figures of the issuer side and of the program's end.
-using issuer::kKeepShare;
-using issuer::kRest;
-using issuer::kSweepEach;
+// The figures of the endpoint side and of the program's end.
+using endpoint::kKeepShare;
+using endpoint::kRest;
+using endpoint::kSweepEach;
 using relay::kDoorOpen;
 using relay::kLookEach;
 using relay::kSettleAt;
@@ -158,7 +158,7 @@
 }
 
 void Node::GiveLine(const std::string& host, const std::string& address) {
-  const issuer::Host* const known = hosts_.Find(host);
+  const endpoint::Host* const known = hosts_.Find(host);
   if (known == nullptr || !known->ready || !known->known || known->address != address)
     return CloseLine(address);
   Pool& pool = pools_[host];
@@ -213,7 +213,7 @@
 // ---- calls ----
 
 void Node::Begin(relay::AttemptOrder order) {
-  const issuer::Host* const host = hosts_.Find(order.host);
+  const endpoint::Host* const host = hosts_.Find(order.host);
   if (host == nullptr || !host->known) return Fail(order.attempt, Outcome::kNoConnection);
   const Time now = Now();
   const std::string address = host->address;
@@ -264,7 +264,7 @@
   const Call call = it->second;
   calls_.erase(it);
   by_attempt_.erase(call.attempt);
-  // Read as the issuer side reads it.
+  // Read as the endpoint side reads it.
   proto::HttpHead head;
   head.status = answer.status;
   if (answer.wait > 0us) {
@@ -272,7 +272,7 @@
     std::snprintf(text, sizeof text, "%.6f", static_cast<double>(answer.wait.count()) / 1e6);
     head.headers["retry-after"] = text;
   }
-  const relay::AttemptEnd end = issuer::MeaningOf(head);
+  const relay::AttemptEnd end = endpoint::MeaningOf(head);
   if (end.told_wait > 0us) hosts_.ToldWait(call.host, end.told_wait, Now());
   GiveLine(call.host, call.address);
   relay_->AttemptEnded(call.attempt, end);
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -1,5 +1,5 @@
 // One life of a relay on a virtual clock: the real core, module, journal and host book, with lines to hosts
-// that are numbers instead of sockets. In place of `client`, `issuer::Issuer`, `routing` and `notice`.
+// that are numbers instead of sockets. In place of `client`, `endpoint::Pool`, `routing` and `notice`.
 #pragma once
 
 #include <functional>
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "issuer/hosts.hpp"
+#include "endpoint/hosts.hpp"
 #include "journal/journal.hpp"
 #include "model/world.hpp"
 #include "relay/counters.hpp"
@@ -20,7 +20,7 @@
 using model::Time;
 
 class Node final : private relay::Clock,
-                   private relay::IssuerSide,
+                   private relay::EndpointSide,
                    private relay::RoutingTable,
                    private relay::Notices {
  public:
@@ -102,7 +102,7 @@
   Options options_;
   Around& around_;
   relay::Counters counters_;
-  issuer::Hosts hosts_;
+  endpoint::Hosts hosts_;
   std::unique_ptr<journal::Journal> journal_;
   std::unique_ptr<relay::Relay> relay_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -371,7 +371,7 @@
     Tell(model::Answered{hand, model::Answered::What::kBroken, Time(0)});
   }
 
-  // ---- issuer hosts ----
+  // ---- endpoints ----
 
   void HostStands(const std::string& address) {
     HostAt& host = hosts_[address];
--- a/src/model/day.hpp
+++ b/src/model/day.hpp
@@ -10,7 +10,7 @@
 
 namespace oxbowspread::model {
 
-// An issuer host: a route of its own to one partner. Rates a second, spans in seconds.
+// An endpoint: a route of its own to one partner. Rates a second, spans in seconds.
 struct Host {
   std::string id, address;              // address:port, never listened on in simulation
   int partner = 0, zone = 0, kind = 0;  // kind 0: large, 1: small
--- a/src/model/route.hpp
+++ b/src/model/route.hpp
@@ -1,4 +1,4 @@
-// One issuer host as the platform describes it: a limit, servers and a queue, outages, and a cold return.
+// One endpoint as the platform describes it: a limit, servers and a queue, outages, and a cold return.
 // Times in microseconds since the day began, which never go back from one call to the next. No I/O; nothing
 // fails.
 #pragma once
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -301,7 +301,7 @@
   noticed.deferred ? Refused(id.message, noticed.again) : Over(id.message);
 }
 
-// ---- issuer hosts ----
+// ---- endpoints ----
 
 std::vector<std::string> World::Addresses() const {
   std::vector<std::string> all;
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -1,4 +1,4 @@
-// The platform around the relays: clients and their front, issuer hosts, discovery, and what goes wrong. It
+// The platform around the relays: clients and their front, endpoints, discovery, and what goes wrong. It
 // is told what the relays do and says what they meet; whoever drives it carries that out, on sockets or on a
 // virtual clock. No I/O, no clock: time is what it is told, in microseconds since the day began.
 //
--- a/src/relay/ports.hpp
+++ b/src/relay/ports.hpp
@@ -66,13 +66,13 @@
 
 struct AttemptEnd {
   wheathub::Outcome outcome = wheathub::Outcome::kServed;
-  bool over = false;  // the issuer host says that nothing more is owed
+  bool over = false;  // the endpoint says that nothing more is owed
   Time told_wait{0};
 };
 
-class IssuerSide {
+class EndpointSide {
  public:
-  virtual ~IssuerSide() = default;
+  virtual ~EndpointSide() = default;
   virtual void Adopt(const RoutingChange& change) = 0;
   // Ends in one Relay::AttemptEnded, which may come from within this call.
   virtual void Begin(AttemptOrder order) = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -197,7 +197,7 @@
     if (!out.written) unwritten.push_back(attempt);
   }
   for (const AttemptId& attempt : unwritten) {
-    sides_.issuer.Cut(attempt);
+    sides_.endpoints.Cut(attempt);
     AttemptEnded(attempt, {Outcome::kNotSent, false, Time(0)});
   }
 }
@@ -284,7 +284,7 @@
 void Relay::CutGiven(const std::string& id) {
   const AttemptId attempt = AttemptOf(id);
   if (!given() || out_.erase(attempt) == 0) return;
-  sides_.issuer.Cut(attempt);
+  sides_.endpoints.Cut(attempt);
 }
 
 void Relay::Turn() {
@@ -361,7 +361,7 @@
   AttemptOrder order = OrderOf(send, it->second);
   it->second.sends += 1;
   out_[order.attempt] = {send.endpoint, sides_.clock.Now(), false};
-  sides_.issuer.Begin(std::move(order));
+  sides_.endpoints.Begin(std::move(order));
 }
 
 bool Relay::AttemptWriting(const AttemptId& attempt, const std::string& host, int zone) {
@@ -439,7 +439,7 @@
   const auto it = out_.find(attempt);
   if (it == out_.end()) return;  // its end is on the way to the module
   const bool written = it->second.written;
-  sides_.issuer.Cut(attempt);  // what has come of it by now is taken first, and may have ended it
+  sides_.endpoints.Cut(attempt);  // what has come of it by now is taken first, and may have ended it
   AttemptEnded(attempt, {written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
 }
 
@@ -484,7 +484,7 @@
 }
 
 void Relay::Tell(const RoutingChange& change) {
-  sides_.issuer.Adopt(change);
+  sides_.endpoints.Adopt(change);
   wheathub::ListUpdate update;
   update.scope = change.scope;
   update.revision = change.revision;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -25,7 +25,7 @@
  public:
   struct Sides {
     Clock& clock;
-    IssuerSide& issuer;
+    EndpointSide& endpoints;
     RoutingTable& routing;
     Notices& notices;
     std::ostream* log = nullptr;  // what the module says, a line each; none: standard output
@@ -60,7 +60,7 @@
   // Whether any list so far named a host of it. Also true before the first list: then nothing can be told.
   bool KnowsDestination(wheathub::DestinationId id) const { return named_.empty() || named_.count(id) > 0; }
 
-  // From the issuer side. An attempt whose begin can't be recorded must not be written.
+  // From the endpoint side. An attempt whose begin can't be recorded must not be written.
   bool AttemptWriting(const AttemptId& attempt, const std::string& host, int zone);
   void AttemptEnded(const AttemptId& attempt, const AttemptEnd& end);
 
@@ -128,7 +128,7 @@
   void Do(const wheathub::Fail& fail);
   void Do(const wheathub::Cancel& cancel);
   void Do(const wheathub::SetTimer& timer);
-  void Do(const wheathub::CloseIdle& close) { sides_.issuer.CloseIdle(close.endpoint); }
+  void Do(const wheathub::CloseIdle& close) { sides_.endpoints.CloseIdle(close.endpoint); }
   void Do(const wheathub::WatchList&) { sides_.routing.Watch(); }
   void Do(const wheathub::FetchList&) { sides_.routing.Fetch(); }
   void Do(const wheathub::Log& log);
--- a/src/relay/table.hpp
+++ b/src/relay/table.hpp
@@ -1,5 +1,5 @@
 // The routing table as discovery lists it, and the hosts that operators have taken out: what the module and
-// the issuer side are told is one laid over the other. No I/O; it owns copies, and an id nobody knows is no
+// the endpoint side are told is one laid over the other. No I/O; it owns copies, and an id nobody knows is no
 // error.
 #pragma once
 
--- a/src/standin/ledger.hpp
+++ b/src/standin/ledger.hpp
@@ -1,4 +1,4 @@
-// What became of every message of a run, as its clients, its issuer hosts and the platform saw it. No I/O.
+// What became of every message of a run, as its clients, its endpoints and the platform saw it. No I/O.
 #pragma once
 
 #include <chrono>
@@ -39,7 +39,7 @@
   enum class End { kRefused, kUnanswered };
   void GivenUp(std::uint64_t message, End end);
 
-  // At an issuer host, when 200 is written. False if the key has had its effect already.
+  // At an endpoint, when 200 is written. False if the key has had its effect already.
   bool Called(const std::string& id, const std::string& key, Time now);
   void Noticed(const std::string& id, const std::string& status);
 
--- a/src/standin/platform.hpp
+++ b/src/standin/platform.hpp
@@ -1,4 +1,4 @@
-// Stand-ins for what the relays call: discovery with its watch, the platform's notices, and issuer hosts that
+// Stand-ins for what the relays call: discovery with its watch, the platform's notices, and endpoints that
 // answer after a while. Loopback only.
 #pragma once
 
--- a/src/trace/event.hpp
+++ b/src/trace/event.hpp
@@ -1,4 +1,4 @@
-// What crossed between clients, relays, issuer hosts, discovery and the platform, as one stream of events in
+// What crossed between clients, relays, endpoints, discovery and the platform, as one stream of events in
 // the order of time. Written by whoever stands between them; read by the checker and the tally, and kept as
 // lines of JSON. No I/O.
 #pragma once
--- a/tests/lab/hosts_test.cpp
+++ b/tests/lab/hosts_test.cpp
@@ -1,5 +1,5 @@
-// The issuer side's book of hosts: what may be written to whom, and who owns an address.
-#include "issuer/hosts.hpp"
+// The endpoint side's book of hosts: what may be written to whom, and who owns an address.
+#include "endpoint/hosts.hpp"
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -8,7 +8,7 @@
 
 using namespace oxbowspread;
 using namespace std::chrono_literals;
-using issuer::Hosts;
+using endpoint::Hosts;
 using wheathub::Lifecycle;
 using wheathub::ListScope;
 
--- a/tests/lab/issuer_test.cpp
+++ b/tests/lab/pool_test.cpp
@@ -1,5 +1,5 @@
-// The issuer side on a real loop with the real core, where the order of events can be chosen.
-#include "issuer/issuer.hpp"
+// The endpoint side on a real loop with the real core, where the order of events can be chosen.
+#include "endpoint/pool.hpp"
 
 #include <unistd.h>
 
@@ -81,9 +81,9 @@
 
 }  // namespace
 
-TEST_CASE("issuer: a host that moves while a line connects to its old place gets its call at the new one",
+TEST_CASE("pool: a host that moves while a line connects to its old place gets its call at the new one",
           "[hosts]") {
-  const auto folder = std::filesystem::temp_directory_path() / ("oxbow-issuer-" + std::to_string(getpid()));
+  const auto folder = std::filesystem::temp_directory_path() / ("oxbow-pool-" + std::to_string(getpid()));
   std::filesystem::create_directories(folder);
   {
     net::Loop loop;
@@ -91,12 +91,12 @@
     Place old_place(loop, [&] { loop.Stop(); }), new_place(loop, [&] { loop.Stop(); });
     journal::Journal journal(folder.string(), 1'000'000);
     relay::Counters counters;
-    issuer::Issuer issuer(loop, {64, 1s, 15s, {}}, counters);
+    endpoint::Pool pool(loop, {64, 1s, 15s, {}}, counters);
     Sides sides(loop);
     std::vector<std::string> none;
     relay::Relay relay(wheathub::wire::ParseSettings(standin::kSettings, &none), 1, journal,
-                       {sides, issuer, sides, sides}, counters);
-    issuer.Attach(relay);
+                       {sides, pool, sides, sides}, counters);
+    pool.Attach(relay);
     bool moved = false;
     sides.on_turn = [&] {
       relay.Turn();
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -1,4 +1,4 @@
-// The relay as its surroundings see it: a process, with this test as its client, issuer hosts and discovery
+// The relay as its surroundings see it: a process, with this test as its client, endpoints and discovery
 // on ephemeral loopback ports. One thread, no sleeps: everything waits for an event, up to a limit.
 #pragma once
 
@@ -55,7 +55,7 @@
   std::string id() const { return headers.count("x-request-id") ? headers.at("x-request-id") : ""; }
 };
 
-// All that listens for the relay: issuer hosts by id, and discovery. Calls wait until the test answers them.
+// All that listens for the relay: endpoints by id, and discovery. Calls wait until the test answers them.
 class World {
  public:
   World();
