Begin a group's change once, and tell it only as most agents have it

Mended: AskLeader accepts an answer that names a leader only from that leader, and hands out what it heard beside the fault; on_record_ holds what most have; a begin carries a name that is kept with the record; before a restart is refused the silent agents are asked once more, and one that answers is not out of reach. Checked: each new test fails with its mend taken out (held-up leader 3 of 3, lost begin, lost record, leaderless answer).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -21,7 +21,7 @@
 using spdlog::level::info;
 using spdlog::level::warn;
 
-constexpr net::Time kAnswerWithin = 1s;
+constexpr net::Time kLookWithin = 2s;  // of an agent that is out of reach if it says nothing then
 constexpr net::Time kGatherEach = 300ms;
 constexpr net::Time kGroupLookEach = 1s;
 constexpr net::Time kLookAround = 1s;  // more, for a new leader to hear of every instance
@@ -194,6 +194,7 @@
     if (engine_) {
       auto last = engine_->record();
       engine_.emplace(group_.members(), group_.limits);
+      on_record_.reset();
       if (last) StepEngine({change::Continue{*last}});
     }
   } catch (const std::exception& e) {
@@ -344,8 +345,10 @@
 
 control::Json Agent::TellChange() {
   Json answer = {{"ok", true}, {"leader", lead_->leader(net::Loop::Now())}, {"epoch", lead_->epoch()}};
-  if (engine_ && engine_->record()) {
-    answer["change"] = ToJson(*engine_->record());
+  if (engine_) {
+    // Not the engine's own, which may be ahead: a next leader may know nothing of what only we have.
+    if (!on_record_) return answer;
+    answer["change"] = ToJson(*on_record_);
     answer["held_back"] = engine_->held_back();
     answer["rate"] = engine_->Rate();
   } else if (const auto record = KeptRecord()) {
@@ -363,9 +366,14 @@
 
 // ---- changes ----
 
-void Agent::BeginChange(const Json& request, const control::Answer& answer) {
+void Agent::BeginChange(const Json& request, const control::Answer& answer,
+                        const std::set<std::string>* deaf) {
   if (!engine_ || !lead_->Leading(net::Loop::Now())) return answer(NotLeading());
   const std::string kind = TextOf(request, "kind");
+  if (const std::string name = TextOf(request, "request"); !name.empty() && engine_->record()) {
+    // Whoever lost our answer, or that of a leader before us, repeats the request: it has been taken.
+    if (engine_->record()->spec.request == name) return AnswerWhenKept(answer);
+  }
   if (const auto& record = engine_->record(); record && !change::Over(record->state)) {
     if (kind == "rollback") {
       StepEngine({change::Say{change::Word::kRollBack}});
@@ -382,20 +390,33 @@
     spec.kind = kind == "restart" ? change::Kind::kRestart
                 : kind == "drain" ? change::Kind::kDrain
                                   : change::Kind::kResume;
+    std::set<std::string> silent;
+    for (const Json& name : instances) {
+      const group::Instance* const instance = group_.Find(name);
+      if (kind != "restart" || instance == nullptr) continue;
+      if (engine_->Fresh(net::Loop::Now(), name) == nullptr) silent.insert(instance->agent);
+    }
+    if (!silent.empty() && deaf == nullptr) {
+      // It may be us who didn't look for a while, held up by a disk or stopped: an agent is out of reach only
+      // if it doesn't answer now.
+      return LookAgain(silent, [this, request, answer](const std::set<std::string>& none) {
+        BeginChange(request, answer, &none);
+      });
+    }
     for (const Json& name : instances) {
       const change::Belief* b = engine_->Fresh(net::Loop::Now(), name);
       if (group_.Find(name) == nullptr)
         return answer(Fault("the group has no instance '" + name.get<std::string>() + "'"));
-      if (b == nullptr && kind == "restart" &&
-          net::Loop::Now() - leads_since_ < group_.limits.belief_age + kLookAround) {
-        // Asked in the first moments of a new leader: whoever asks comes again, as where nobody leads.
-        Json later = Fault("the new leader has yet to hear of " + name.get<std::string>());
+      if (b == nullptr && kind == "restart") {
+        const bool new_here = net::Loop::Now() - leads_since_ < group_.limits.belief_age + kLookAround;
+        if (!new_here && deaf->count(group_.Find(name)->agent) > 0)
+          return answer(Fault(name.get<std::string>() + " is unknown: its agent is out of reach"));
+        // A new leader, or an agent that is there and has not heard of its relay: whoever asks comes again,
+        // as where nobody leads.
+        Json later = Fault("the leader has yet to hear of " + name.get<std::string>());
         later["leader"] = "";
         return answer(later);
       }
-      if (b == nullptr && kind == "restart") {
-        return answer(Fault(name.get<std::string>() + " is unknown: its agent is out of reach"));
-      }
       // One that is down runs by nothing: its agent says by which version it would.
       const std::string version = wanted_[name];
       spec.targets.push_back({name, version, version, false});
@@ -460,6 +481,7 @@
   if (!lead_->Leading(net::Loop::Now())) return answer(NotLeading());
   spec.id = "c" + std::to_string(lead_->epoch()) + "-" + std::to_string(lead_->proposed() + 1);
   spec.by = TextOf(request, "by");
+  spec.request = TextOf(request, "request");
   if (const std::string from = TextOf(request, "from"); !from.empty()) spec.by = from;
   if (const std::string why = engine_->Objection(spec); !why.empty()) return answer(Fault(why));
   if (request.value("dry_run", false)) return answer(Plan(spec));
@@ -546,7 +568,8 @@
       engine_.emplace(group_.members(), group_.limits);
       Note({}, {}, "leads in epoch " + std::to_string(leads_in_));
       try {
-        if (const auto record = KeptRecord()) StepEngine({change::Continue{*record}});
+        on_record_ = KeptRecord();
+        if (on_record_) StepEngine({change::Continue{*on_record_}});
       } catch (const std::exception& e) {
         // Kept whole by most, so written by another program: a person must look, and the relays run on.
         Note({}, {}, std::string("the change on record can't be read and is not continued: ") + e.what());
@@ -557,7 +580,11 @@
       Note({}, {}, "leads no more: " + stopped->why);
     } else if (const auto* kept = std::get_if<lead::ValueKept>(&action)) {
       for (Queued& queued : queue_) {
-        if (queued.seq != 0 && queued.seq <= kept->seq) queued.what = Reply{[](bool) {}};
+        if (queued.seq == 0 || queued.seq > kept->seq) continue;
+        auto record = std::get<change::Keep>(std::get<change::Action>(queued.what)).record;
+        queued.what = Reply{[this, record = std::move(record)](bool led) {
+          if (led) on_record_ = record;
+        }};
       }
       Drain();
     }
@@ -645,6 +672,26 @@
   StepEngine({});
 }
 
+void Agent::LookAgain(const std::set<std::string>& agents,
+                      const std::function<void(const std::set<std::string>& deaf)>& then) {
+  struct Look {
+    std::size_t open;
+    std::set<std::string> deaf;
+  };
+  auto look = std::make_shared<Look>(Look{agents.size(), {}});
+  const net::Time asked = net::Loop::Now();
+  const auto heard = [this, look, then, asked](const std::string& name, const Json* answer) {
+    if (answer == nullptr) look->deaf.insert(name);
+    if (answer != nullptr && engine_) TakeLocal(*answer, asked);
+    if (--look->open == 0) then(look->deaf);
+  };
+  for (const std::string& name : agents) {
+    AskAgent(
+        name, {{"op", "local"}},
+        [heard, name](const Json* answer, const std::string&) { heard(name, answer); }, kLookWithin);
+  }
+}
+
 void Agent::TakeLocal(const Json& answer, net::Time asked) {
   std::vector<change::Event> events;
   try {
@@ -662,11 +709,11 @@
   StepEngine(std::move(events));
 }
 
-void Agent::AskAgent(const std::string& name, Json request, control::Caller::Done done) {
+void Agent::AskAgent(const std::string& name, Json request, control::Caller::Done done, net::Time limit) {
   if (name != options_.name) {
     const auto caller = callers_.find(name);
     if (caller == callers_.end()) return done(nullptr, "no such agent");
-    return caller->second->Call(std::move(request), kAnswerWithin, std::move(done));
+    return caller->second->Call(std::move(request), limit, std::move(done));
   }
   // Ourselves, by the same door.
   request["from"] = name;
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,7 +62,9 @@
   Json TakeOffer(const Json& request);
   Json TellHistory(const Json& request);
   Json TellChange();
-  void BeginChange(const Json& request, const control::Answer& answer);
+  // `deaf`: the agents that didn't answer when looked for again; null if none was yet.
+  void BeginChange(const Json& request, const control::Answer& answer,
+                   const std::set<std::string>* deaf = nullptr);
   void Offer(const Json& request, const control::Answer& answer);
   void Launch(change::Spec spec, const Json& request, const control::Answer& answer);
   Json Plan(const change::Spec& spec);
@@ -76,9 +79,13 @@
   void LeadNoMore();
   void GiveOrder(const change::Order& order);
   void Gather();
+  // Asks these agents for their instances once more, and goes on with those that didn't answer.
+  void LookAgain(const std::set<std::string>& agents,
+                 const std::function<void(const std::set<std::string>& deaf)>& then);
   void TakeLocal(const Json& answer, net::Time asked);
 
-  void AskAgent(const std::string& name, Json request, control::Caller::Done done);
+  void AskAgent(const std::string& name, Json request, control::Caller::Done done,
+                net::Time limit = std::chrono::seconds(1));
   void KeepHands();
   void LookAtGroup();
   void CheckKeys();
@@ -98,6 +105,7 @@
   std::map<std::string, std::unique_ptr<control::Caller>> callers_;
   std::optional<lead::Lead> lead_;
   std::optional<change::Engine> engine_;
+  std::optional<change::Record> on_record_;  // what most have of the engine's, while this one leads
   lead::Epoch leads_in_ = 0;
   net::Time leads_since_{0};
   std::deque<Queued> queue_;
--- a/src/apps/oxbowctl.cpp
+++ b/src/apps/oxbowctl.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <random>
 
 #include "apps/arguments.hpp"
 #include "config/config.hpp"
@@ -37,6 +38,14 @@
   return user != nullptr && *user != '\0' ? user : "uid " + std::to_string(getuid());
 }
 
+// By which agents know a request that comes again after its answer was lost.
+std::string NewRequest() {
+  std::random_device dice;
+  char text[17];
+  std::snprintf(text, sizeof text, "%08x%08x", dice(), dice());
+  return text;
+}
+
 class Command {
  public:
   explicit Command(const Options& options)
@@ -56,8 +65,12 @@
         std::cout << ctl::StatusTable(status) << "\n" << ctl::AgentTable(group_, answers) << std::flush;
         for (const auto& [name, answered] : answers) {
           if (!answered.answer || control::TextOf(*answered.answer, "leader") != name) continue;
-          const Json change = client_.AskLeader({{"op", "change"}}, kAnswerWithin);
-          std::cout << "\n" << ctl::ProgressLine(change) << std::endl;
+          try {
+            const Json change = client_.AskLeader({{"op", "change"}}, kAnswerWithin);
+            std::cout << "\n" << ctl::ProgressLine(change) << std::endl;
+          } catch (const ctl::OutOfReach& e) {
+            std::cout << "\nchange: " << e.what() << std::endl;
+          }
         }
       }
       const bool any = std::any_of(answers.begin(), answers.end(),
@@ -103,7 +116,11 @@
   }
 
   int Begin(const std::string& kind) {
-    Json request = {{"op", "begin"}, {"kind", kind}, {"by", User()}, {"dry_run", options_.dry_run}};
+    Json request = {{"op", "begin"},
+                    {"kind", kind},
+                    {"by", User()},
+                    {"dry_run", options_.dry_run},
+                    {"request", NewRequest()}};
     if (kind == "reconfigure") {
       Json configs = Json::object();
       for (const group::Instance& i : group_.instances) {
@@ -141,9 +158,16 @@
   }
 
   int ChangeShow() {
-    const Json answer = client_.AskLeader({{"op", "change"}}, kPatience);
-    std::cout << (options_.json ? answer.dump() + "\n" : ctl::ChangeTable(answer));
-    return 0;
+    try {
+      const Json answer = client_.AskLeader({{"op", "change"}}, kPatience);
+      std::cout << (options_.json ? answer.dump() + "\n" : ctl::ChangeTable(answer));
+      return 0;
+    } catch (const ctl::OutOfReach& e) {
+      if (!e.last()) throw;
+      std::cout << (options_.json ? e.last()->dump() + "\n" : ctl::ChangeTable(*e.last()));
+      std::cerr << "oxbowctl: " << e.what() << "; what was last on record there is shown\n";
+      return kOutOfReach;
+    }
   }
 
   int ChangeSay(const std::string& word) {
--- a/src/change/record.cpp
+++ b/src/change/record.cpp
@@ -45,9 +45,11 @@
                        {"deaths", p.deaths},
                        {"note", p.note}});
   }
-  return {{"change", record.spec.id}, {"kind", NameOf(record.spec.kind)},
-          {"by", record.spec.by},     {"state", NameOf(record.state)},
-          {"why", record.why},        {"targets", targets}};
+  Json json = {{"change", record.spec.id}, {"kind", NameOf(record.spec.kind)},
+               {"by", record.spec.by},     {"state", NameOf(record.state)},
+               {"why", record.why},        {"targets", targets}};
+  if (!record.spec.request.empty()) json["request"] = record.spec.request;
+  return json;
 }
 
 Record RecordFrom(const Json& json) {
@@ -56,6 +58,7 @@
     r.spec.id = json.at("change");
     r.spec.kind = Named<Kind>(kKinds, json, "kind");
     r.spec.by = json.at("by");
+    r.spec.request = json.value("request", "");
     r.state = Named<State>(kStates, json, "state");
     r.why = json.at("why");
     for (const Json& t : json.at("targets")) {
--- a/src/change/record.hpp
+++ b/src/change/record.hpp
@@ -54,6 +54,7 @@
   Kind kind = Kind::kRestart;
   std::string by;               // who asked for it
   std::vector<Target> targets;  // in the order in which they are taken
+  std::string request = {};  // what asked for it calls its request, so that it can be repeated; may be empty
 };
 
 enum class Stage {
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -60,19 +60,26 @@
 control::Json Client::AskLeader(const control::Json& request, net::Time patience) {
   const net::Time until = net::Loop::Now() + patience;
   std::string why, next = agents_.front();
+  std::optional<control::Json> last;
   for (std::size_t tried = 0;; ++tried) {
     Answered got = Ask(next, request, kLimit);
     std::string leader;
     if (got.answer && got.answer->value("ok", false)) {
       // A member that follows answers from its own record, which may lag behind the leader's.
       leader = control::TextOf(*got.answer, "leader");
-      if (leader == next || callers_.count(leader) == 0) return *got.answer;
+      const bool stranger = !leader.empty() && callers_.count(leader) == 0;  // asked at one socket only
+      // Only whoever leads answers anything else than `change`, and that names nobody.
+      if (!got.answer->contains("leader") || leader == next || stranger) return *got.answer;
+      if (leader.empty()) last = got.answer;
     } else if (got.answer) {
       if (!got.answer->contains("leader")) throw Refused(control::TextOf(*got.answer, "error"));
       leader = control::TextOf(*got.answer, "leader");
     }
-    why = next + ": " + (got.answer ? got.answer->value("error", "follows " + leader) : got.why);
-    if (net::Loop::Now() >= until) throw OutOfReach(why);
+    why = next + ": " +
+          (got.answer
+               ? got.answer->value("error", leader.empty() ? "no agent leads just now" : "follows " + leader)
+               : got.why);
+    if (net::Loop::Now() >= until) throw OutOfReach(why, last);
     const bool known = callers_.count(leader) > 0 && leader != next;
     next = known ? leader : agents_[(tried + 1) % agents_.size()];
     if (!known) Rest(kAskAgain);
--- a/src/ctl/client.hpp
+++ b/src/ctl/client.hpp
@@ -18,7 +18,13 @@
 // No agent answers, or none leads for too long.
 class OutOfReach : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit OutOfReach(const std::string& why, std::optional<control::Json> last = std::nullopt)
+      : std::runtime_error(why), last_(std::move(last)) {}
+  // What an agent answered that knows of no leader: what it has on record, which may be old.
+  const std::optional<control::Json>& last() const { return last_; }
+
+ private:
+  std::optional<control::Json> last_;
 };
 // An agent refused, in its words.
 class Refused : public std::runtime_error {
--- a/tests/group/files_test.cpp
+++ b/tests/group/files_test.cpp
@@ -323,14 +323,39 @@
     group.agents.back().name = name;
     group.agents.back().address = "127.0.0.1:" + std::to_string(standin::FreePort());
   }
-  const auto telling = [&](std::size_t i, const char* change) {
+  const auto telling = [&](std::size_t i, const char* leader, const char* change) {
     const group::Agent& a = group.agents[i];
     return std::make_unique<FakeAgent>(k.path, a.name, a.address,
-                                       control::Json{{"ok", true}, {"leader", "east"}, {"change", change}});
+                                       control::Json{{"ok", true}, {"leader", leader}, {"change", change}});
   };
-  const auto west = telling(0, "the last one"), east = telling(1, "this one");
+  const auto east = telling(1, "east", "this one");
+  for (const char* leader : {"east", ""}) {  // as one that follows says, and one that knows of no leader
+    INFO("west follows '" << leader << "'");
+    const auto west = telling(0, leader, "the last one");
+    ctl::Client client(group, "operator", "");
+    CHECK(client.AskLeader({{"op", "change"}}, std::chrono::seconds(5)).at("change") == "this one");
+  }
+}
+
+TEST_CASE("where nobody leads, what an agent has on record comes beside the fault") {
+  const Keys k;
+  tls::Issue(k.path, "operator", 86400);
+  group::Group group;
+  group.keys = k.path;
+  group.agents.emplace_back();
+  group.agents.back().name = "west";
+  group.agents.back().address = "127.0.0.1:" + std::to_string(standin::FreePort());
+  const FakeAgent west(k.path, "west", group.agents.back().address,
+                       control::Json{{"ok", true}, {"leader", ""}, {"change", "the last one"}});
   ctl::Client client(group, "operator", "");
-  CHECK(client.AskLeader({{"op", "change"}}, std::chrono::seconds(5)).at("change") == "this one");
+  try {
+    client.AskLeader({{"op", "change"}}, std::chrono::milliseconds(300));
+    FAIL("answered as if somebody led");
+  } catch (const ctl::OutOfReach& e) {
+    CHECK(e.what() == std::string("west: no agent leads just now"));
+    REQUIRE(e.last());
+    CHECK(e.last()->at("change") == "the last one");
+  }
 }
 
 }  // namespace
--- a/tests/group/group_process_test.cpp
+++ b/tests/group/group_process_test.cpp
@@ -438,44 +438,153 @@
   CHECK(rig.ChangeState() == "done");
 }
 
+TEST_CASE("a leader that was held up itself asks again before it calls an agent out of reach") {
+  RigOptions o;
+  o.limits.replace(o.limits.find("belief_age: 1500ms"), 18, "belief_age: 500ms");
+  GroupRig rig(o);
+  rig.StartAll();
+  // A whole change, after which nobody is a new leader any more, who may ask for patience.
+  REQUIRE(rig.Begin("restart", {"n1", "n2", "n3"}).value("ok", false));
+  REQUIRE(rig.UntilOver());
+  std::string leader;
+  REQUIRE(rig.Until([&] { return !(leader = rig.Leader()).empty(); }));
+  // Stopped for longer than a belief lasts and less than its lease, with the request in its buffer: when it
+  // goes on, all that it knows of the others is old, and the others were there all the time.
+  rig.Signal(leader, SIGSTOP);
+  net::Timer go_on(rig.loop, [&] { rig.Signal(leader, SIGCONT); });
+  go_on.After(800ms);
+  std::optional<Json> answer;
+  rig.Send(leader, {{"op", "begin"}, {"kind", "restart"}, {"by", "test"}, {"instances", rig.site.instances}},
+           &answer);
+  REQUIRE(rig.Until([&] { return answer.has_value(); }));
+  INFO(answer->dump());
+  // One that lost its lease over it says that it doesn't lead, which is no word on the others.
+  CHECK((answer->value("ok", false) || answer->contains("leader")));
+  CHECK(Text(*answer, "error").find("out of reach") == std::string::npos);
+  if (answer->value("ok", false)) {
+    REQUIRE(rig.UntilOver());
+    CHECK(rig.ChangeState() == "done");
+  }
+}
+
+TEST_CASE("an agent that doesn't answer is out of reach, and a restart of its instances is refused") {
+  GroupRig rig;
+  rig.StartAll();
+  const std::string leader = rig.Leader();
+  const auto other = std::find_if(rig.site.agents.begin(), rig.site.agents.end(),
+                                  [&](const std::string& name) { return name != leader; });
+  rig.Signal(*other, SIGSTOP);
+  const Json begin = {{"op", "begin"},
+                      {"kind", "restart"},
+                      {"by", "test"},
+                      {"dry_run", true},
+                      {"instances", rig.site.instances}};
+  std::optional<Json> answer;
+  // Until it is no longer believed, a change may begin, and then waits.
+  REQUIRE(rig.Until([&] {
+    const std::string leads = rig.Leader();
+    answer.reset();
+    if (!leads.empty()) rig.Send(leads, begin, &answer);
+    const bool came = leads.empty() || rig.Until([&] { return answer.has_value(); });
+    return came && answer && !answer->value("ok", false) && !answer->contains("leader");
+  }));
+  CHECK(Text(*answer, "error").find("is unknown: its agent is out of reach") != std::string::npos);
+  CHECK_FALSE(rig.Change().contains("change"));
+  rig.Signal(*other, SIGCONT);
+}
+
+TEST_CASE("a begin whose answer is lost with the leader is known to the next and begun once") {
+  GroupRig rig;
+  rig.StartAll();
+  const std::string leader = rig.Leader();
+  REQUIRE_FALSE(leader.empty());
+  std::vector<std::string> others;
+  for (const std::string& name : rig.site.agents) {
+    if (name != leader) others.push_back(name);
+  }
+  // Nobody but the leader has the change on record, so it can't say that it was taken.
+  for (const std::string& name : others) rig.Signal(name, SIGSTOP);
+  const Json begin = {
+      {"op", "begin"}, {"kind", "restart"}, {"by", "test"}, {"instances", {"n1", "n2"}}, {"request", "mine"}};
+  std::optional<Json> lost;
+  rig.Send(leader, begin, &lost);
+  // Behind it on the same connection: the leader tells what most have, which is no change.
+  const auto meanwhile = rig.Ask(leader, {{"op", "change"}});
+  REQUIRE(meanwhile);
+  INFO(meanwhile->dump());
+  CHECK_FALSE(meanwhile->contains("change"));
+  REQUIRE(rig.Until([&] { return lost.has_value(); }));
+  CHECK_FALSE(lost->value("ok", false));
+  REQUIRE(lost->contains("leader"));
+  rig.Signal(others[0], SIGCONT);
+  // Most are two of three: whoever leads next has been told what the old leader has.
+  std::optional<Json> again;
+  std::string next;
+  REQUIRE(rig.Until([&] {
+    next.clear();
+    for (const std::string& name : {leader, others[0]}) {
+      const auto local = rig.Ask(name, {{"op", "local"}});
+      if (local && Text(*local, "leader") == name) next = name;
+    }
+    if (next.empty()) return false;
+    again = rig.Ask(next, begin);
+    return again && (again->value("ok", false) || !again->contains("leader"));
+  }));
+  INFO(again->dump());
+  REQUIRE(again->value("ok", false));
+  const std::string id = Text(again->at("change"), "change");
+  rig.Signal(others[1], SIGCONT);
+  const Json another = rig.Begin("drain", {"n3"});
+  CHECK(Text(another, "error").find("change " + id + " ") == 0);
+  REQUIRE(rig.UntilOver());
+  CHECK(rig.ChangeState() == "done");
+  CHECK(Text(rig.Change().at("change"), "change") == id);
+}
+
 TEST_CASE("oxbowctl shows, plans, refuses and changes, each with its exit code") {
   GroupRig rig;
   rig.StartAll();
   std::string out;
-  CHECK(rig.Ctl({"group", "check"}, &out) == 0);
+  // The code it ends with; what it said stands beside a failed check.
+  const auto check = [&](const std::vector<std::string>& words, int code) {
+    const int got = rig.Ctl(words, &out);
+    INFO("oxbowctl " << words.front() << " said: " << out);
+    CHECK(got == code);
+  };
+  check({"group", "check"}, 0);
   CHECK(out.find("3 agents, 5 instances, can be used") != out.npos);
-  CHECK(rig.Ctl({"status"}, &out) == 0);
+  check({"status"}, 0);
   CHECK(out.find("n5") != out.npos);
   CHECK(out.find("serving") != out.npos);
-  CHECK(rig.Ctl({"status", "--json"}, &out) == 0);
+  check({"status", "--json"}, 0);
   CHECK(Json::parse(out).size() == 5);
-  CHECK(rig.Ctl({"show", "n3"}, &out) == 0);
-  CHECK(rig.Ctl({"restart", "--all", "--dry-run"}, &out) == 0);
+  check({"show", "n3"}, 0);
+  check({"restart", "--all", "--dry-run"}, 0);
   CHECK(out.find("n1        restart") != out.npos);
   CHECK_FALSE(rig.Change().contains("change"));
-  CHECK(rig.Ctl({"restart", "n9"}, &out) == 2);
+  check({"restart", "n9"}, 2);
   CHECK(out == "oxbowctl: name instances, or --all\n");
-  CHECK(rig.Ctl({"dance"}, &out) == 2);
-  CHECK(rig.Ctl({"drain", "--all", "--no-wait"}, &out) == 1);
+  check({"dance"}, 2);
+  check({"drain", "--all", "--no-wait"}, 1);
   CHECK(out.find("refused: would leave 5 instances out") != out.npos);
-  CHECK(rig.Ctl({"change", "pause"}, &out) == 1);
-  CHECK(rig.Ctl({"apply"}, &out) == 0);
+  check({"change", "pause"}, 1);
+  check({"apply"}, 0);
   CHECK(out.find("nothing differs") != out.npos);
-  CHECK(rig.Ctl({"drain", "n1"}, &out) == 0);
+  check({"drain", "n1"}, 0);
   CHECK(Text(rig.Beliefs().at("n1"), "phase") == "paused");
-  CHECK(rig.Ctl({"resume", "n1"}, &out) == 0);
+  check({"resume", "n1"}, 0);
   CHECK(rig.AllServe());
-  CHECK(rig.Ctl({"restart", "--all", "--no-wait"}, &out) == 0);
+  check({"restart", "--all", "--no-wait"}, 0);
   const std::string id = Text(rig.Change().at("change"), "change");
-  CHECK(rig.Ctl({"drain", "n2"}, &out) == 1);
+  check({"drain", "n2"}, 1);
   CHECK(out.find("refused: change " + id + " (restart by operator) is not over yet") != out.npos);
-  CHECK(rig.Ctl({"change", "abort"}, &out) == 0);
+  check({"change", "abort"}, 0);
   REQUIRE(rig.UntilOver());
   CHECK(rig.ChangeState() == "aborted");
-  CHECK(rig.Ctl({"history", "--most", "500"}, &out) == 0);
+  check({"history", "--most", "500"}, 0);
   CHECK(out.find(id + ": aborted: by an operator") != out.npos);
   for (const std::string& name : rig.site.agents) rig.Signal(name, SIGKILL);
-  CHECK(rig.Ctl({"status"}, &out) == 3);
+  check({"status"}, 3);
   CHECK(out.find("unknown") != out.npos);
 }
 
--- a/tests/group/rig.cpp
+++ b/tests/group/rig.cpp
@@ -145,6 +145,12 @@
   return answer;
 }
 
+void GroupRig::Send(const std::string& agent, const Json& request, std::optional<Json>* answer) {
+  callers_.at(agent)->Call(request, 20s, [answer](const Json* got, const std::string&) {
+    if (got != nullptr) *answer = *got;
+  });
+}
+
 Json GroupRig::AskLeader(const Json& request, net::Time limit) {
   const net::Time until = net::Loop::Now() + limit;
   std::string next = site.agents.front();
@@ -171,7 +177,11 @@
 
 Json GroupRig::Begin(const std::string& kind, std::vector<std::string> instances) {
   if (instances.empty()) instances = site.instances;
-  return AskLeader({{"op", "begin"}, {"kind", kind}, {"by", "test"}, {"instances", instances}});
+  return AskLeader({{"op", "begin"},
+                    {"kind", kind},
+                    {"by", "test"},
+                    {"instances", instances},
+                    {"request", "test " + std::to_string(++requests_)}});
 }
 
 Json GroupRig::ConfigOf(const std::string& instance) const {
@@ -182,7 +192,11 @@
   Json all = Json::object();
   for (const std::string& name : site.instances) all[name] = group::ReadFile(folder + "/" + name + ".json");
   for (const auto& [name, config] : configs) all[name] = config.dump();
-  return AskLeader({{"op", "begin"}, {"kind", "reconfigure"}, {"by", "test"}, {"configs", all}});
+  return AskLeader({{"op", "begin"},
+                    {"kind", "reconfigure"},
+                    {"by", "test"},
+                    {"configs", all},
+                    {"request", "test " + std::to_string(++requests_)}});
 }
 
 std::string GroupRig::ChangeState() {
--- a/tests/group/rig.hpp
+++ b/tests/group/rig.hpp
@@ -51,9 +51,12 @@
 
   // An agent's answer; nothing if it gives none.
   std::optional<Json> Ask(const std::string& agent, const Json& request);
+  // Without waiting; the answer, if one comes, is in `answer` while the loop runs.
+  void Send(const std::string& agent, const Json& request, std::optional<Json>* answer);
   // By whoever leads, found by asking around.
   Json AskLeader(const Json& request, net::Time limit = 20s);
   std::string Leader();
+  // Under a name of its own: one that is asked twice, its answer lost, is begun once.
   Json Begin(const std::string& kind, std::vector<std::string> instances = {});
   Json Apply(const std::map<std::string, Json>& configs);  // the others as they are on disk
   Json Change() { return AskLeader({{"op", "change"}}); }
@@ -83,6 +86,7 @@
 
  private:
   std::map<std::string, pid_t> agents_;
+  int requests_ = 0;
   std::optional<tls::Identity> identity_;
   std::map<std::string, std::unique_ptr<control::Caller>> callers_;
 };
