Keep the told change over a new group file, and look at beliefs once a begin

Found on reading again. Its reset of on_record_ stood where a new group file is taken up (Agent::LookAtGroup), not where a lead begins, so that a leader told no change from an edit of the file until its record was kept anew. And BeginChange read the clock twice: a belief that ended between the two looks was stale with no list of deaf agents, a null pointer. Mended: the reset is where the lead begins; one moment serves both looks. The test of the edited group file asks for the change once more after the file was taken up; it passes without the mend too, as the gap is over within milliseconds. Neither crossing has a test that fails without its mend: both are inside one step of the agent. The four tests concerned pass side by side, sanitized; the whole suite was not run again after this.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -194,7 +194,6 @@
     if (engine_) {
       auto last = engine_->record();
       engine_.emplace(group_.members(), group_.limits);
-      on_record_.reset();
       if (last) StepEngine({change::Continue{*last}});
     }
   } catch (const std::exception& e) {
@@ -390,11 +389,12 @@
     spec.kind = kind == "restart" ? change::Kind::kRestart
                 : kind == "drain" ? change::Kind::kDrain
                                   : change::Kind::kResume;
+    const net::Time now = net::Loop::Now();  // one moment for both looks: a belief may end between them
     std::set<std::string> silent;
     for (const Json& name : instances) {
       const group::Instance* const instance = group_.Find(name);
       if (kind != "restart" || instance == nullptr) continue;
-      if (engine_->Fresh(net::Loop::Now(), name) == nullptr) silent.insert(instance->agent);
+      if (engine_->Fresh(now, name) == nullptr) silent.insert(instance->agent);
     }
     if (!silent.empty() && deaf == nullptr) {
       // It may be us who didn't look for a while, held up by a disk or stopped: an agent is out of reach only
@@ -404,11 +404,11 @@
       });
     }
     for (const Json& name : instances) {
-      const change::Belief* b = engine_->Fresh(net::Loop::Now(), name);
+      const change::Belief* b = engine_->Fresh(now, name);
       if (group_.Find(name) == nullptr)
         return answer(Fault("the group has no instance '" + name.get<std::string>() + "'"));
       if (b == nullptr && kind == "restart") {
-        const bool new_here = net::Loop::Now() - leads_since_ < group_.limits.belief_age + kLookAround;
+        const bool new_here = now - leads_since_ < group_.limits.belief_age + kLookAround;
         if (!new_here && deaf->count(group_.Find(name)->agent) > 0)
           return answer(Fault(name.get<std::string>() + " is unknown: its agent is out of reach"));
         // A new leader, or an agent that is there and has not heard of its relay: whoever asks comes again,
@@ -566,6 +566,7 @@
       leads_in_ = leads->epoch;
       leads_since_ = now;
       engine_.emplace(group_.members(), group_.limits);
+      on_record_.reset();
       Note({}, {}, "leads in epoch " + std::to_string(leads_in_));
       try {
         on_record_ = KeptRecord();
--- a/tests/group/group_process_test.cpp
+++ b/tests/group/group_process_test.cpp
@@ -325,6 +325,7 @@
   REQUIRE(rig.UntilOver());
   CHECK(rig.ChangeState() == "done");
   REQUIRE(rig.Until([&] { return rig.AgentLog(leader).find("group file taken up") != std::string::npos; }));
+  CHECK(rig.ChangeState() == "done");  // still told by whoever leads
   std::ofstream(rig.site.group_file) << text + "  least_sample: none\n";
   REQUIRE(rig.Until(
       [&] { return rig.AgentLog(leader).find("limits.least_sample: must be") != std::string::npos; }));
