--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -208,6 +208,18 @@
   CHECK(after.id() == "held-a");
 }
 
+// Guards against a new process that draws its first call like one of a fleet that starts: nobody watches
+// then.
+TEST_CASE("a process that takes over asks for the list at once, in a fleet of 300") {
+  Upgrade r;
+  for (RelayProcess* p : {&r.old, &r.next}) p->config["settings"]["balancers"] = 300;
+  r.old.Start();
+  r.world.Until([&] { return r.world.standing() == 1; });
+  const int before = r.world.watches;
+  r.Over();
+  r.world.Until([&] { return r.world.watches == before + 1; }, 300ms);
+}
+
 TEST_CASE("the old process's door passes an operator's call on while attempts are out there") {
   Upgrade r;
   r.old.Start();
--- a/tests/relay/list_crossing_test.cpp
+++ b/tests/relay/list_crossing_test.cpp
@@ -171,5 +171,129 @@
   CHECK(l.HostsOf(client, 8) == kOnlyA);
 }
 
+// ---- what is older, and what can't be read ----
+
+// A message for the only host of its destination goes at once if that may be used, else it waits.
+bool Called(Client& client, int destination, const std::string& id) {
+  const long before = client.Counters()["legs"];
+  client.Put(id, "hello", 8000, ",k=key1,dest=" + std::to_string(destination));
+  REQUIRE(client.Line() == "+OK");
+  return client.Counters()["legs"] > before;  // the step that took it on would have sent it
+}
+
+// Found: what was older was passed over for 10 s with the drains in it, though discovery had written them.
+TEST_CASE("a drain in a list older than what is known binds at once, until discovery has caught up") {
+  Listed l;
+  l.world.AddHost("c", 8);
+  l.relay.config["settings"]["weights"] = "none";
+  l.relay.Start();
+  Client client(l.relay);
+  l.world.Until([&] { return l.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  l.world.Tell({{"version", 50}, {"full", false}, {"servers", nlohmann::json::array()}});
+  l.UntilCount(client, "list_changes", changes + 1);
+  l.world.Tell({{"version", 48}, {"full", false}, {"servers", {l.As("c", "Terminating")}}});
+  l.UntilCount(client, "lists_behind", 1);
+  CHECK_FALSE(Called(client, 8, "id-1"));
+  // The discovery that lags has it back: so it was before version 50, too.
+  l.world.Tell({{"version", 49}, {"full", false}, {"servers", {l.As("c", "Ready")}}});
+  const HttpRequest call = l.world.NextCall();
+  CHECK(call.id() == "id-1");
+  l.world.Answer(call, "200 OK");
+  // A whole list that lacks it, and then what is known, which has it.
+  l.world.Tell({{"version", 49}, {"full", true}, {"servers", {l.As("a", "Ready")}}});
+  l.UntilCount(client, "lists_behind", 3);
+  CHECK_FALSE(Called(client, 8, "id-2"));
+  l.world.Tell({{"version", 50}, {"full", false}, {"servers", nlohmann::json::array()}});
+  CHECK(l.world.NextCall().id() == "id-2");
+}
+
+// Found: an entry with one bad field was dropped, and the drain that it told with it.
+TEST_CASE(
+    "an entry that can't be read stops calls to its host, hides no other, and is named in the log once") {
+  Listed l;
+  l.world.AddHost("c", 8);
+  l.world.AddHost("d", 9);
+  l.relay.config["settings"]["weights"] = "none";
+  l.relay.Start();
+  Client client(l.relay);
+  l.world.Until([&] { return l.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  nlohmann::json spoilt = l.As("c", "Terminating");
+  spoilt["weight"] = "fifty";
+  const nlohmann::json nameless = {{"state", "Gone"}};
+  for (int version = 9; version < 11; ++version) {
+    l.world.Tell({{"version", version},
+                  {"full", false},
+                  {"servers", {spoilt, nameless, l.As("d", "Terminating"), l.As("a", "Ready")}}});
+  }
+  l.UntilCount(client, "list_changes", changes + 2);
+  CHECK_FALSE(Called(client, 8, "id-1"));
+  CHECK_FALSE(Called(client, 9, "id-2"));
+  CHECK(Called(client, 7, "id-3"));
+  CHECK(client.Counters()["list_entries_unreadable"] == 4);
+  const std::string& log = l.relay.log();
+  const std::size_t first = log.find("can't be read, the first one is c");
+  REQUIRE(first != std::string::npos);
+  CHECK(log.find("can't be read", first + 20) == std::string::npos);
+  // It may be used again once it can be read.
+  l.world.NextCall();
+  l.world.Tell({{"version", 12}, {"full", false}, {"servers", {l.As("c", "Ready")}}});
+  CHECK(l.world.NextCall().id() == "id-1");
+}
+
+TEST_CASE(
+    "a whole list with an entry that can't be read keeps what is known of that host, but calls it not") {
+  Listed l;
+  l.world.AddHost("c", 8);
+  l.relay.config["settings"]["weights"] = "none";
+  l.relay.Start();
+  Client client(l.relay);
+  l.world.Until([&] { return l.world.watches == 1; });
+  const long changes = client.Counters()["list_changes"];
+  nlohmann::json spoilt = l.As("c", "Ready"), stranger = l.As("c", "Ready");
+  spoilt["cell"] = "eight";
+  stranger["id"] = "nobody-knows-it";
+  stranger["zone"] = nlohmann::json::array();
+  stranger["addr"] = 7;
+  l.world.Tell({{"version", 9}, {"full", true}, {"servers", {spoilt, stranger, l.As("a", "Ready")}}});
+  l.UntilCount(client, "list_changes", changes + 1);
+  CHECK_FALSE(Called(client, 8, "id-1"));
+  CHECK(Called(client, 7, "id-2"));
+}
+
+TEST_CASE("a list that can't be read fails its call and changes nothing") {
+  for (const char* text :
+       {"{\"version\":9,\"full\":true,\"servers\":7}\n", "{\"version\":\"9\",\"servers\":[]}\n",
+        "{\"version\":9,\"full\":\"yes\"}\n", "[1]\n", "nonsense\n"}) {
+    INFO(text);
+    Listed l;
+    l.relay.Start();
+    Client client(l.relay);
+    l.world.Until([&] { return l.world.watches == 1; });
+    const long changes = client.Counters()["list_changes"];
+    l.UntilCount(client, "list_changes", 1);
+    l.world.silent = true;  // the call that follows tells nothing
+    l.world.TellText(text);
+    l.UntilCount(client, "list_failures", 1);
+    CHECK(client.Counters()["list_changes"] <= changes + 1);
+    CHECK(l.HostsOf(client, 1).size() == 1);
+    l.world.Until([&] { return l.world.watches == 2; });
+  }
+}
+
+TEST_CASE("the age of the list is told, and grows while discovery says nothing") {
+  Listed l;
+  l.relay.Start();
+  Client client(l.relay);
+  l.world.Until([&] { return l.world.watches == 1; });
+  l.UntilCount(client, "list_changes", 2);
+  CHECK(client.Counters()["list_age_ms"] < 2'000);
+  l.world.silent = true;
+  l.world.heartbeats = false;
+  l.world.Until([&] { return client.Counters()["list_age_ms"] > 4'000; });
+  CHECK(client.Counters()["watches"] >= 2);
+}
+
 }  // namespace
 }  // namespace oxbowspread::testing
--- a/tests/relay/list_deadline_test.cpp
+++ b/tests/relay/list_deadline_test.cpp
@@ -160,6 +160,42 @@
   CHECK(f.CallDraining() == 0);
 }
 
+TEST_CASE("of moves that follow one another the last one counts, 4 s after it") {
+  Fleet f;
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  f.world.silent = true;
+  const int before = f.world.watches;
+  for (int move = 0; move < 3; ++move) {
+    f.world.MoveDiscovery();
+    for (const RelayProcess& relay : f.relays) {
+      auto config = relay.config;
+      config["discovery"] = "127.0.0.1:" + std::to_string(f.world.discovery_port());
+      relay.Reload(config.dump());
+    }
+    f.UntilEachHas("reloads", move + 1);
+  }
+  const auto moved = Clock::now();
+  f.world.SetStateUntold("b", "Gone");
+  f.world.Until([&] { return f.world.watches >= before + f.size(); });
+  f.world.silent = false;
+  f.Pass(moved + kMovedWithin - Clock::now());
+  CHECK(f.CallDraining() == 0);
+}
+
+TEST_CASE(
+    "where an agent pushes lists, what it has is known at once when it answers again, in a fleet of 300") {
+  Fleet f;
+  for (RelayProcess& relay : f.relays) relay.config["settings"]["discovery"] = "push";
+  f.world.refusing = true;
+  f.Start();
+  f.UntilEachHas("list_failures", 3);
+  f.world.SetStateUntold("b", "Terminating");
+  f.world.refusing = false;
+  f.Pass(300ms);
+  CHECK(f.CallDraining() == 0);
+}
+
 // Found: any byte counted as a sign of life, so that half a change kept a watch alive for ever.
 TEST_CASE("a watch that trickles bytes and never ends a line is silent") {
   Fleet f(1);
