--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -214,7 +214,9 @@
 class Decider::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed)
-      : s_(std::move(settings)), random_(seed), list_({false, s_.senders, true}, random_()) {
+      : s_(std::move(settings)),
+        random_(seed),
+        list_({false, s_.senders, true}, s_.list_must_be_asked_for ? random_() : 0) {
     if (s_.classes.empty()) throw std::invalid_argument("no message class is given: nothing can be sent");
     if (s_.senders < 1) throw std::invalid_argument("the number of senders must be 1 or more");
     for (const MessageClass& c : s_.classes) {
