--- a/include/wheathub/list_subscription.hpp
+++ b/include/wheathub/list_subscription.hpp
@@ -2,6 +2,9 @@
 // at which a change of the list has to be known. No I/O and no clock: whoever carries the calls out tells
 // what became of them, and calls Step again at the moment last asked for.
 //
+// Times are microseconds of one clock that never goes back; numbers of calls count from 1. It owns copies of
+// all that it is given and throws nothing: a number that it doesn't know, or knows no more, is passed over.
+//
 // The rules. A change counts as known
 //   - 6 s after discovery had it and could be reached, whatever became of earlier calls (kKnownWithin);
 //   - 6 s after the subscription fell silent; an empty line comes every 2 s while nothing changes;
