Log each call for the list with its end, reason and duration, and each version told

Change: typed reasons for the end of a call for the list; one line a call, one an end, one a version. No decision changes.

--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -40,7 +40,7 @@
 // What has come from the old place was told before the move.
 void Discovery::MoveTo(Place place) {
   place_ = std::move(place);
-  CloseAll();
+  CloseAll(CallEnd::kMoved);
   Tell(Subscription::Moved{});
 }
 
@@ -48,7 +48,7 @@
   subscription_.reset();
   alarm_.Stop();
   behind_.Stop();
-  CloseAll();
+  CloseAll(CallEnd::kNotNeeded);
 }
 
 void Discovery::Tell(const Subscription::Event& event) {
@@ -62,26 +62,42 @@
 void Discovery::Open(const Subscription::Call& call) {
   if (call.gives_up) {
     counters_.list_failures += 1;
-    Drop(*call.gives_up);
+    Drop(*call.gives_up, CallEnd::kGivenUp);
   }
   counters_.watches += 1;
+  std::cout << "list: call " << call.number << " to " << place_.host << " from version " << revision_
+            << std::endl;
   calls_.push_back(std::make_unique<Call>(*this, call.number));
   // Without a socket the call has failed.
-  if (!calls_.back()->Open(place_, revision_)) Failed(call.number);
+  if (!calls_.back()->Open(place_, revision_)) Failed(call.number, CallEnd::kNoSocket);
 }
 
-void Discovery::Drop(Number number) {
+const char* Discovery::NameOf(CallEnd end) {
+  constexpr const char* kNames[] = {
+      "no socket",          "not connected", "refused",    "closed before a list", "unreadable",
+      "subscription ended", "given up",      "not needed", "discovery has moved"};
+  return kNames[static_cast<int>(end)];
+}
+
+void Discovery::LogEnd(const Call& call, CallEnd end) {
+  std::cout << "list: call " << call.number() << " over after " << call.age() / 1ms << " ms: " << NameOf(end)
+            << std::endl;
+}
+
+void Discovery::Drop(Number number, CallEnd end) {
   const auto it = std::find_if(calls_.begin(), calls_.end(),
                                [number](const auto& call) { return call->number() == number; });
   if (it == calls_.end()) return;
   std::unique_ptr<Call> call = std::move(*it);
   calls_.erase(it);
+  LogEnd(*call, end);
   call->Close();
   loop_.Dispose(std::move(call));
 }
 
-void Discovery::CloseAll() {
+void Discovery::CloseAll(CallEnd end) {
   for (std::unique_ptr<Call>& call : std::exchange(calls_, {})) {
+    LogEnd(*call, end);
     call->ReadAndClose();
     loop_.Dispose(std::move(call));
   }
@@ -100,14 +116,15 @@
                                              std::make_move_iterator(calls_.end()));
   calls_.erase(others, calls_.end());
   for (std::unique_ptr<Call>& call : closing) {
+    LogEnd(*call, CallEnd::kNotNeeded);
     call->ReadAndClose();
     loop_.Dispose(std::move(call));
   }
 }
 
-void Discovery::Failed(Number number) {
+void Discovery::Failed(Number number, CallEnd end) {
   counters_.list_failures += 1;
-  Drop(number);
+  Drop(number, end);
   Tell(Subscription::Failed{number});
 }
 
@@ -116,6 +133,8 @@
   if (!list) return false;
   NoteUnreadable(list->unreadable);
   const relay::RoutingChange& change = list->change;
+  std::cout << "list: version " << change.revision << " told, " << revision_ << " known, "
+            << change.hosts.size() << " entries" << std::endl;
   if (change.revision > 0 && change.revision < revision_) {
     counters_.lists_behind += 1;
     if (!behind_.active()) behind_.After(kBehindMost);
@@ -161,6 +180,7 @@
 
 // A change that has come is told before anything that goes by the list is done.
 void Discovery::Call::OnConnected() {
+  connected_ = true;
   connection_->First();
   connection_->Send(request_);
 }
@@ -168,23 +188,23 @@
 void Discovery::Call::OnBytes(proto::RingBuffer& in) {
   while (!in.empty() && !over_) {
     in.Consume(reader_.Feed(in.Front()));
-    if (reader_.state() == proto::HttpReader::State::kBad) return Fail();
+    if (reader_.state() == proto::HttpReader::State::kBad) return Fail(CallEnd::kUnreadable);
     if (reader_.state() == proto::HttpReader::State::kWhole) return;
   }
 }
 
 void Discovery::Call::OnHead(const proto::HttpHead& head) {
-  if (head.status != 200) Fail();
+  if (head.status != 200) Fail(CallEnd::kRefused);
 }
 
 // Only what is whole is a sign of life: a list, a change, or an empty line behind the first list.
 void Discovery::Call::OnBody(std::string_view bytes) {
   if (over_) return;
   const ListStream::Units units = stream_.Feed(bytes);
-  if (stream_.held() > kLongestText) return Fail();
+  if (stream_.held() > kLongestText) return Fail(CallEnd::kUnreadable);
   for (const std::string& object : units.objects) {
     if (over_) return;
-    if (!discovery_.TakeList(object)) return Fail();
+    if (!discovery_.TakeList(object)) return Fail(CallEnd::kUnreadable);
   }
   listed_ = listed_ || !units.objects.empty();
   const bool something_whole = !units.objects.empty() || units.empty_lines > 0;
@@ -192,10 +212,15 @@
 }
 
 // A watch lasts until its connection ends: one that is whole has ended.
-void Discovery::Call::OnWhole(bool) { Fail(); }
+void Discovery::Call::OnWhole(bool) { Fail(listed_ ? CallEnd::kEnded : CallEnd::kClosed); }
+
+void Discovery::Call::OnClosed() {
+  if (!connected_) return Fail(CallEnd::kNotConnected);
+  Fail(listed_ ? CallEnd::kEnded : CallEnd::kClosed);
+}
 
-void Discovery::Call::Fail() {
-  if (!std::exchange(over_, true)) discovery_.Failed(number_);
+void Discovery::Call::Fail(CallEnd end) {
+  if (!std::exchange(over_, true)) discovery_.Failed(number_, end);
 }
 
 }  // namespace oxbowspread::routing
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -45,6 +45,20 @@
   using Subscription = wheathub::ListSubscription;
   using Number = Subscription::CallNumber;
 
+  // Why a call for the list, or the subscription that it had become, is over.
+  enum class CallEnd {
+    kNoSocket,
+    kNotConnected,
+    kRefused,     // by a status other than 200
+    kClosed,      // by discovery, before it had told a list
+    kUnreadable,  // what came is no list
+    kEnded,       // the subscription, by discovery
+    kGivenUp,     // unanswered for too long
+    kNotNeeded,   // another call was answered
+    kMoved,       // discovery is somewhere else
+  };
+  static const char* NameOf(CallEnd end);
+
   // One call, from its connection's start to its end: first unanswered, then the subscription.
   class Call final : public net::Connection::User, private proto::HttpReader::Handler {
    public:
@@ -54,18 +68,21 @@
     // Takes what has come unread, then closes.
     void ReadAndClose();
     Number number() const { return number_; }
+    net::Time age() const { return net::Loop::Now() - started_; }
 
    private:
     void OnConnected() override;
     void OnBytes(proto::RingBuffer& in) override;
-    void OnClosed() override { Fail(); }
+    void OnClosed() override;
     void OnHead(const proto::HttpHead& head) override;
     void OnBody(std::string_view bytes) override;
     void OnWhole(bool keep_alive) override;
-    void Fail();
+    void Fail(CallEnd end);
 
     Discovery& discovery_;
     Number number_;
+    net::Time started_ = net::Loop::Now();
+    bool connected_ = false;  // once
     bool over_ = false;
     proto::HttpReader reader_;
     std::unique_ptr<net::Connection> connection_;
@@ -76,10 +93,11 @@
 
   void Tell(const Subscription::Event& event);
   void Open(const Subscription::Call& call);
-  void Drop(Number number);
-  void CloseAll();
+  void Drop(Number number, CallEnd end);
+  void CloseAll(CallEnd end);
   void Heard(Number number);
-  void Failed(Number number);
+  void Failed(Number number, CallEnd end);
+  static void LogEnd(const Call& call, CallEnd end);
   bool TakeList(std::string_view text);
   void NoteUnreadable(const std::vector<std::string>& entries);
 
