Reproduce calls to draining hosts by a list that nobody confirmed, red: three tests

A guard beside them passes: hosts are called on while connections to discovery are refused. The tests of deadlines share their fleet of relays with them now.

--- a/tests/relay/list_deadline_test.cpp
+++ b/tests/relay/list_deadline_test.cpp
@@ -4,67 +4,16 @@
 #include <sys/syscall.h>
 
 #include <catch2/catch.hpp>
-#include <deque>
 
+#include "fleet.hpp"
 #include "rig.hpp"
 #include "tracer.hpp"
 
 namespace oxbowspread::testing {
 namespace {
 
-constexpr int kFleet = 300;
-constexpr auto kKnownWithin = 6s;
 constexpr auto kMovedWithin = 4s;  // after a SIGHUP that moves discovery
 
-struct Fleet {
-  World world;
-  std::deque<RelayProcess> relays;
-
-  explicit Fleet(int count = 6) {
-    world.AddHost("a", 7);
-    world.AddHost("b", 8);
-    for (int rank = 0; rank < count; ++rank) {
-      RelayProcess& relay = relays.emplace_back(world);
-      relay.config["settings"]["balancers"] = kFleet;
-      relay.config["settings"]["rank"] = rank;
-      relay.config["settings"]["weights"] =
-          "none";  // no told limit, of which a relay's part would be awaited
-      relay.config["seed"] = std::to_string(1000 + rank);
-    }
-  }
-  int size() const { return static_cast<int>(relays.size()); }
-  void Start() {
-    for (RelayProcess& relay : relays) relay.Start();
-  }
-  bool EachHas(const char* counter, long count) {
-    return std::all_of(relays.begin(), relays.end(),
-                       [&](const RelayProcess& relay) { return Client(relay).Counters()[counter] >= count; });
-  }
-  void UntilEachHas(const char* counter, long count, std::chrono::milliseconds limit = 30s) {
-    world.Until([&] { return EachHas(counter, count); }, limit);
-  }
-  void Pass(Clock::duration span) {
-    const auto until = Clock::now() + span;
-    world.Until([&] { return Clock::now() >= until; },
-                std::chrono::ceil<std::chrono::milliseconds>(span) + 5s);
-  }
-  // How many relays call host b, the only one of its destination, with a message for that.
-  int CallDraining() {
-    int calls = 0;
-    for (const RelayProcess& relay : relays) {
-      Client client(relay);
-      const long before = client.Counters()["legs"];
-      client.Put("id-" + std::to_string(++puts_), "hello", 8000, ",k=key1,dest=8");
-      REQUIRE(client.Line() == "+OK");
-      calls += client.Counters()["legs"] > before;  // the step that took it on would have sent it
-    }
-    return calls;
-  }
-
- private:
-  int puts_ = 0;
-};
-
 TEST_CASE("a relay that was not told of a drain calls the host, so that the tests below can fail") {
   Fleet f;
   f.world.silent = true;
@@ -150,11 +99,7 @@
   f.world.MoveDiscovery();
   const auto moved = Clock::now();
   const int before = f.world.watches;
-  for (const RelayProcess& relay : f.relays) {
-    auto config = relay.config;
-    config["discovery"] = "127.0.0.1:" + std::to_string(f.world.discovery_port());
-    relay.Reload(config.dump());
-  }
+  f.ReloadAll();
   f.world.Until([&] { return f.world.watches >= before + f.size(); });
   f.world.refusing = false;
   f.Pass(moved + kMovedWithin - Clock::now());
@@ -169,11 +114,7 @@
   const int before = f.world.watches;
   for (int move = 0; move < 3; ++move) {
     f.world.MoveDiscovery();
-    for (const RelayProcess& relay : f.relays) {
-      auto config = relay.config;
-      config["discovery"] = "127.0.0.1:" + std::to_string(f.world.discovery_port());
-      relay.Reload(config.dump());
-    }
+    f.ReloadAll();
     f.UntilEachHas("reloads", move + 1);
   }
   const auto moved = Clock::now();
--- /dev/null
+++ b/tests/relay/list_lease_test.cpp
@@ -0,0 +1,121 @@
+// A relay that can't have the list in time must stop calling what may have begun to drain meanwhile: 6 s
+// after discovery has a change it counts as known, whatever became of the calls for it.
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "fleet.hpp"
+#include "rig.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+
+// A client of each relay, connected while it still takes new connections.
+std::deque<Client> ClientsOf(const Fleet& fleet) {
+  std::deque<Client> clients;
+  for (const RelayProcess& relay : fleet.relays) clients.emplace_back(relay);
+  for (Client& client : clients) REQUIRE(client.Ask(kPing) == "+PONG");
+  return clients;
+}
+
+// Until that moment each client asks again and again, so that its relay sees it in use.
+void KeepAsking(Fleet& fleet, std::deque<Client>& clients, Clock::time_point until) {
+  while (Clock::now() < until) {
+    for (Client& client : clients) REQUIRE(client.Ask(kPing) == "+PONG");
+    fleet.world.ServeFor(50ms);
+  }
+}
+
+// The same with messages for host a, which serves all that it is called for.
+void KeepHandingIn(Fleet& fleet, std::deque<Client>& clients, Clock::time_point until) {
+  for (int round = 0; Clock::now() < until; ++round) {
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      clients[i].Put("a-" + std::to_string(i) + "-" + std::to_string(round));
+      REQUIRE_FALSE(clients[i].Line().empty());
+    }
+    while (fleet.world.CallWithin(50ms)) fleet.world.Answer(fleet.world.NextCall(), "200 OK");
+  }
+}
+
+// Hands one message for host b to each relay; returns how many of them call it.
+int CallsToDraining(std::deque<Client>& clients) {
+  int calls = 0;
+  for (Client& client : clients) {
+    const long before = client.Counters()["legs"];
+    client.Put("late-" + std::to_string(&client - &clients.front()), "hello", 8000, ",k=key1,dest=8");
+    client.Line();
+    calls += client.Counters()["legs"] > before;
+  }
+  return calls;
+}
+
+// The change that tells the drain of host b breaks off in its middle with the watch, and discovery refuses
+// all calls from then on. Returns when discovery had the change.
+Clock::time_point BreakChange(Fleet& fleet) {
+  fleet.world.refusing = true;
+  fleet.world.SetStateUntold("b", "Terminating");
+  const auto changed = Clock::now();
+  fleet.world.TellText("{\"version\":2,\"full\":false,\"servers\":[{\"id\":\"b\",");
+  fleet.world.EndWatches();
+  return changed;
+}
+
+TEST_CASE("no call to a host that drains: its change broken off, discovery moved and crowded, SIGTERM") {
+  Fleet f(4);
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  std::deque<Client> clients = ClientsOf(f);
+  const auto changed = BreakChange(f);
+  f.UntilEachHas("list_failures", 2);
+  f.world.MoveDiscovery();
+  f.ReloadAll();
+  f.UntilEachHas("reloads", 1);
+  KeepAsking(f, clients, changed + kKnownWithin - 2700ms);
+  for (const RelayProcess& relay : f.relays) relay.Signal(SIGTERM);
+  KeepHandingIn(f, clients, changed + kKnownWithin);
+  CHECK(CallsToDraining(clients) == 0);
+}
+
+TEST_CASE(
+    "no call to a host that drains while discovery refuses calls, and what waits goes once it answers") {
+  Fleet f(4);
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  std::deque<Client> clients = ClientsOf(f);
+  const auto changed = BreakChange(f);
+  KeepAsking(f, clients, changed + kKnownWithin);
+  CHECK(CallsToDraining(clients) == 0);
+  clients.front().Put("id-a", "hello", 8000, ",k=key2,dest=7");
+  CHECK(clients.front().Line() == "+OK");
+  CHECK_FALSE(f.world.CallWithin(500ms));
+  f.world.refusing = false;
+  CHECK(f.world.NextCall().id() == "id-a");
+}
+
+TEST_CASE("a new process that discovery refuses calls no host 6 s after its start") {
+  Fleet f(4);
+  f.world.refusing = true;
+  f.Start();
+  std::deque<Client> clients = ClientsOf(f);
+  f.world.SetStateUntold("b", "Terminating");
+  KeepAsking(f, clients, Clock::now() + kKnownWithin);
+  CHECK(CallsToDraining(clients) == 0);
+}
+
+// Nothing that changes while nobody can reach discovery counts as known: a relay must not stop for its
+// outage.
+TEST_CASE("hosts are called on while connections to discovery are refused") {
+  Fleet f(1);
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  std::deque<Client> clients = ClientsOf(f);
+  f.world.CloseDiscovery();
+  KeepAsking(f, clients, Clock::now() + kKnownWithin + 2s);
+  clients.front().Put("id-a", "hello", 8000, ",k=key1,dest=7");
+  CHECK(clients.front().Line() == "+OK");
+  CHECK(f.world.NextCall().id() == "id-a");
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -179,6 +179,15 @@
   discovery_ = Socket::Listen();
 }
 
+void World::CloseDiscovery() {
+  for (Peer& peer : peers_) {
+    if (!peer.host.empty() || peer.socket.fd() < 0) continue;
+    peer.watch = false;
+    peer.socket.Reset();
+  }
+  discovery_.Close();
+}
+
 void World::Stop(const std::string& id) { listeners_.erase(id); }
 
 nlohmann::json World::List() const {
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -77,6 +77,8 @@
   int discovery_port() const { return discovery_.port(); }
   // Discovery listens at a new port; the old one takes nothing more, what is open there falls silent.
   void MoveDiscovery();
+  // Discovery ends: its connections are reset and new ones are refused.
+  void CloseDiscovery();
 
   // The next call at any host; fails the test if none comes in time.
   HttpRequest NextCall(std::chrono::milliseconds limit = 5s);
