Call no endpoint by a list that nobody has confirmed in time: a lease on the list

Cause: calls went by a list of any age. That a drain is known within 6 s rested on discovery's answering in time; a crowd that it refuses, a change that breaks off, a move by SIGHUP break that, and nothing stopped the calls (Hosts::MayWrite, Decider::Open). What waits goes once the list is confirmed. An outage of discovery, told from a crowd by a subscription that it ended itself and calls that wait for their refusal, keeps the lease; a handover passes it on. Replaced check: 'discovery that refuses again and again' looked after four refused calls, past 5.5 s, whether a host is called; now after two, and list_lease_test holds what follows.

--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -203,8 +203,13 @@
   Settings settings;
 };
 
+// Until when the list may be used: no message is sent at that moment or later. Never over where none is told.
+struct ListValidity {
+  Time until = Time::max();
+};
+
 using Event = std::variant<ListUpdate, Message, Withdrawn, StreamStarted, AttemptEnded, ProbeEnded, PeerNote,
-                           TimerDue, NewSettings, Belief>;
+                           TimerDue, NewSettings, Belief, ListValidity>;
 
 // ---- actions ----
 
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -159,7 +159,9 @@
         if (taken) attempts_.TakeOver(std::move(*start_.channel), start_.estate.out);
         relay_.Recover(known, taken ? &start_.estate : nullptr);
         endpoints_.TakeWaits(start_.estate.waits);
-        discovery_.Start(ListOptionsOf(config_), ~config_.seed, taken);
+        std::optional<wheathub::ListLease::Inherited> lease;
+        if (taken) lease = {start_.estate.list_valid_until};
+        discovery_.Start(ListOptionsOf(config_), ~config_.seed, lease);
         if (taken) {
           std::cout << config_.name << ": took over " << start_.clients.size() << " clients and "
                     << start_.estate.out.size() << " attempts that go on in the old process" << std::endl;
@@ -258,6 +260,7 @@
   relay::Estate Freeze() override {
     relay::Estate estate = relay_.Freeze();
     estate.waits = endpoints_.Waits();
+    estate.list_valid_until = discovery_.list_valid_until();
     return estate;
   }
   std::vector<client::Passed> Clients() const override { return clients_->passed(); }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -556,8 +556,12 @@
     if (e.state == State::kCold) patience = std::clamp(1 / ColdShare(e), 1.0, kColdPatience);
     return Micros(patience * std::max(Seconds(kOverdueLeast), kOverdueTimes * e.latency_s));
   }
+  // A list that is too old tells of nobody who may be called: see ListLease.
+  bool ListValid() const { return now_ < list_valid_until_; }
   void SendProbe(Endpoint& e) {
-    if (!s_.may_probe || e.state != State::kDown || e.trying || !e.Usable() || now_ < OpensAt(e)) return;
+    if (!ListValid() || !s_.may_probe || e.state != State::kDown || e.trying || !e.Usable() ||
+        now_ < OpensAt(e))
+      return;
     e.trying = true;
     BackOff(e);
     actions_.push_back(Probe{e.info.id});
@@ -571,7 +575,7 @@
     return !p.may_have_run || !ClassOf(p.m).repeats_bound_to_zone || e.info.zone == p.risk_zone;
   }
   bool Open(const Endpoint& e, const Pending& p) const {
-    if (!e.Usable() || !InGroup(e, p) || Shunned(e, p) || OpensAt(e) > now_) return false;
+    if (!ListValid() || !e.Usable() || !InGroup(e, p) || Shunned(e, p) || OpensAt(e) > now_) return false;
     if (s_.slots > 0 && e.route->calls >= std::max(2, static_cast<int>(kSlotShare * s_.slots))) return false;
     const bool suits = Repeatable(p) || !e.eats || e.route->backoff >= kBackoffMax;
     return e.state != State::kDown || (!s_.may_probe && suits);
@@ -687,6 +691,7 @@
   }
   Time SoonestOpen(const Destination& d) const {  // of the endpoints that don't take a message now
     Time soonest = Time::max();
+    if (!ListValid()) return soonest;
     for (const Endpoint* e : d.endpoints) {
       if (e->Usable() && OpensAt(*e) > now_) soonest = std::min(soonest, OpensAt(*e));
     }
@@ -920,6 +925,13 @@
     s_ = n.settings;
     for (auto& [id, d] : destinations_) d.lanes.resize(s_.classes.size() * 2), Touch(d);
   }
+  // What waited for the list may go once it is valid again.
+  void On(const ListValidity& validity) {
+    const bool was_valid = ListValid();
+    list_valid_until_ = validity.until;
+    if (was_valid || !ListValid()) return;
+    for (auto& [id, d] : destinations_) Touch(d);
+  }
   void On(const Belief& b) {
     const auto it = endpoints_.find(b.endpoint);
     if (it == endpoints_.end()) return;
@@ -971,6 +983,7 @@
   int called_off_ = 0;                               // calls out
   std::vector<Share> shares_;
   ListSubscription list_;
+  Time list_valid_until_ = Time::max();
   ListSubscription::CallNumber list_call_ = 0;  // the last one
   Alarm list_alarm_;
   std::int64_t last_seq_ = 0;
--- a/src/endpoint/hosts.cpp
+++ b/src/endpoint/hosts.cpp
@@ -121,7 +121,7 @@
   if (host == nullptr || !host->known || !host->ready) return false;
   const auto wait = waits_.find(RouteOf(id, *host));
   if (wait != waits_.end() && now < wait->second) return false;
-  return now < write_before;
+  return now < write_before && now < list_valid_until_;
 }
 
 std::vector<std::string> Hosts::LongGone(net::Time now) const {
--- a/src/endpoint/hosts.hpp
+++ b/src/endpoint/hosts.hpp
@@ -43,8 +43,10 @@
   // As another process had it.
   void TakeWait(const relay::HostWait& wait);
   std::vector<relay::HostWait> Waits(net::Time now) const;
+  // The list may be used until that moment.
+  void ListValidUntil(net::Time moment) { list_valid_until_ = moment; }
   // Whether a call may be written to it: never to one that has lost its address or drains, nor to one whose
-  // route was told to wait, and nothing at `write_before` or later.
+  // route was told to wait, nothing once the list is too old, and nothing at `write_before` or later.
   bool MayWrite(const std::string& id, net::Time write_before, net::Time now) const;
 
   // Those that left the list so long ago that nothing comes of them any more, by id.
@@ -65,7 +67,8 @@
   std::map<std::string, Host> hosts_;
   std::map<std::string, std::set<std::string>> at_address_;  // ids: one, but while an address changes hands
   std::set<std::string> gone_;
-  std::vector<bool> apart_;           // by kind
+  std::vector<bool> apart_;  // by kind
+  net::Time list_valid_until_ = net::Time::max();
   std::map<Route, net::Time> waits_;  // until when; those over are dropped as new ones come
 };
 
--- a/src/endpoint/pool.hpp
+++ b/src/endpoint/pool.hpp
@@ -44,6 +44,7 @@
   void Begin(relay::AttemptOrder order) override;
   void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
+  void ListValidUntil(net::Time moment) override { hosts_.ListValidUntil(moment); }
 
  private:
   using Lines = std::vector<std::unique_ptr<Line>>;
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -59,6 +59,7 @@
   void Begin(relay::AttemptOrder order) override { own_.Begin(std::move(order)); }
   void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override { own_.CloseIdle(host); }
+  void ListValidUntil(relay::Time moment) override { own_.ListValidUntil(moment); }
 
  private:
   static constexpr Limit kCutWithin{150};
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -170,7 +170,8 @@
                                 {"hosts", std::move(hosts)},
                                 {"beliefs", std::move(beliefs)},
                                 {"out", std::move(out)},
-                                {"waits", std::move(waits)}});
+                                {"waits", std::move(waits)},
+                                {"list_valid_until", estate.list_valid_until.count()}});
   std::vector<EstatePiece> pieces;
   for (std::size_t at = 0; at < all.size(); at += kPiece) pieces.push_back({all.substr(at, kPiece)});
   return pieces;
@@ -182,6 +183,7 @@
     relay::Estate estate;
     estate.table.scope = wheathub::ListScope::kRemembered;
     estate.table.revision = j.at("revision");
+    estate.list_valid_until = Time(j.value("list_valid_until", Time::rep{0}));  // an older process lacks it
     for (const Json& h : j.at("hosts")) estate.table.hosts.push_back(HostOf(h));
     for (const Json& b : j.at("beliefs")) estate.beliefs.push_back(BeliefOf(b));
     for (const Json& l : j.at("out")) estate.out.push_back({l.at(0), l.at(1), TimeOf(l.at(2))});
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -72,6 +72,7 @@
                                           relay::Relay::Sides{*this, *this, *this, &Nowhere()}, counters_);
   version_ = known.version;
   relay_->Recover(ChangeOf(known, true));
+  TellLease(wheathub::ListLease::Started{});
   StepList(wheathub::ListSubscription::Started{});
   Later(kSweepEach, [this] { Sweep(); });
 }
@@ -340,9 +341,14 @@
 
 void Node::ListHeard(std::uint64_t call) {
   if (call <= list_calls_before_) return;
+  TellLease(wheathub::ListLease::Confirmed{});
   StepList(wheathub::ListSubscription::Heard{static_cast<int>(call - list_calls_before_)});
 }
 
+void Node::TellLease(const wheathub::ListLease::Event& event) {
+  relay_->ListValidUntil(lease_.Step(Now(), event));
+}
+
 std::uint64_t Node::CallOf(wheathub::ListSubscription::CallNumber number) const {
   return list_calls_before_ + static_cast<std::uint64_t>(number);
 }
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -14,6 +14,7 @@
 #include "model/world.hpp"
 #include "relay/counters.hpp"
 #include "relay/relay.hpp"
+#include "wheathub/list_lease.hpp"
 #include "wheathub/list_subscription.hpp"
 
 namespace oxbowspread::lab {
@@ -85,8 +86,10 @@
   void Begin(relay::AttemptOrder order) override;
   void Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
+  void ListValidUntil(Time moment) override { hosts_.ListValidUntil(moment); }
   void StepList(const wheathub::ListSubscription::Event& event);
   void ListHeard(std::uint64_t call);
+  void TellLease(const wheathub::ListLease::Event& event);
   std::uint64_t CallOf(wheathub::ListSubscription::CallNumber number) const;
   void Post(const std::string& id, const journal::Ending& ending) override;
 
@@ -113,6 +116,7 @@
   std::vector<std::function<void()>> missed_;  // while it was stopped
   std::int64_t version_ = 0;
   wheathub::ListSubscription list_;
+  wheathub::ListLease lease_;
   std::uint64_t list_calls_before_ = 0;  // of earlier lives: no two calls share a number
   std::uint64_t list_alarm_ = 0;         // the one that counts
   std::map<std::string, Pool> pools_;
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -45,6 +45,7 @@
       {"list_failures", list_failures},
       {"lists_behind", lists_behind},
       {"list_entries_unreadable", list_entries_unreadable},
+      {"list_leases_over", list_leases_over},
       {"clients", clients},
       {"clients_turned_away", clients_turned_away},
       {"clients_evicted", clients_evicted},
--- a/src/relay/counters.hpp
+++ b/src/relay/counters.hpp
@@ -22,6 +22,7 @@
   std::uint64_t returned_early = 0;  // surely not run, and ended before seven tenths of their time
   std::uint64_t watches = 0, list_changes = 0, list_failures = 0, lists_behind = 0,
                 list_entries_unreadable = 0;
+  std::uint64_t list_leases_over = 0;  // how often the list was too old to be used
   std::uint64_t clients = 0, clients_turned_away = 0, clients_evicted = 0, clients_evicted_unasked = 0,
                 clients_too_slow = 0;
   std::uint64_t reloads = 0, reloads_refused = 0;
--- a/src/relay/estate.hpp
+++ b/src/relay/estate.hpp
@@ -27,6 +27,7 @@
   std::vector<wheathub::Belief> beliefs;
   std::vector<AttemptOut> out;
   std::vector<HostWait> waits;
+  Time list_valid_until{0};  // 0: the process that gives over can't tell
 };
 
 }  // namespace oxbowspread::relay
--- a/src/relay/ports.hpp
+++ b/src/relay/ports.hpp
@@ -74,6 +74,8 @@
   // follows.
   virtual void Cut(const AttemptId& attempt) = 0;
   virtual void CloseIdle(const std::string& host) = 0;
+  // No call is written at that moment or later, whenever it was begun, until another moment is told.
+  virtual void ListValidUntil(Time moment) = 0;
 };
 
 class Notices {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -497,6 +497,11 @@
   Queue(std::move(update));
 }
 
+void Relay::ListValidUntil(Time moment) {
+  sides_.endpoints.ListValidUntil(moment);
+  Queue(wheathub::ListValidity{moment});
+}
+
 std::optional<std::string> Relay::TakeOut(const std::string& host) {
   if (!table_.Lists(host) && !table_.IsOut(host)) return "no host " + host + " is listed";
   if (!journal_.TakeOut(host))
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -71,6 +71,8 @@
   // Discovery told what is older than what is known: only what it says drains or is gone is taken from it,
   // and binds until a RoutingChanged.
   void RoutingBehind(const RoutingChange& older);
+  // The list may be used until that moment, for calls that have begun too.
+  void ListValidUntil(Time moment);
   void NoticeTaken(const std::string& id);
 
   // Maintenance, from the operators: on record, and binding, once it returns nothing; else why not. A host
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -14,6 +14,8 @@
 // long has begun to count anew. What it says drains or is gone binds meanwhile: see Relay::RoutingBehind.
 constexpr net::Time kBehindMost = 10s;
 constexpr std::size_t kLongestText = 4u << 20;
+// A connection that hasn't come up after so long goes nowhere: loopback and data centres take far less.
+constexpr net::Time kConnectsWithin = 1s;
 
 }  // namespace
 
@@ -23,14 +25,21 @@
       names_(std::move(names)),
       counters_(counters),
       alarm_(loop, [this] { Tell(Subscription::Elapsed{}); }),
+      lease_over_(loop, [this] { LeaseOver(); }),
       behind_(loop, [this] {
         revision_ = 0;
         Tell(Subscription::Distrusted{});
       }) {}
 
-void Discovery::Start(const Subscription::Options& options, std::uint64_t seed, bool at_once) {
+void Discovery::Start(const Subscription::Options& options, std::uint64_t seed,
+                      const std::optional<wheathub::ListLease::Inherited>& inherited) {
   subscription_ = std::make_unique<Subscription>(options, seed);
-  Tell(Subscription::Started{at_once});
+  if (inherited) {
+    TellLease(*inherited);
+  } else {
+    TellLease(wheathub::ListLease::Started{});
+  }
+  Tell(Subscription::Started{inherited.has_value()});
 }
 
 void Discovery::SetOptions(const Subscription::Options& options) {
@@ -41,12 +50,14 @@
 void Discovery::MoveTo(Place place) {
   place_ = std::move(place);
   CloseAll(CallEnd::kMoved);
+  TellLease(wheathub::ListLease::Moved{});
   Tell(Subscription::Moved{});
 }
 
 void Discovery::Stop() {
   subscription_.reset();
   alarm_.Stop();
+  lease_over_.Stop();
   behind_.Stop();
   CloseAll(CallEnd::kNotNeeded);
 }
@@ -59,7 +70,45 @@
   alarm_.At(next);
 }
 
+void Discovery::TellLease(const wheathub::ListLease::Event& event) {
+  if (subscription_ == nullptr) return;
+  const net::Time now = net::Loop::Now();
+  const net::Time before = lease_.valid_until();
+  const net::Time until = lease_.Step(now, event);
+  if (before <= now && until > now) {
+    std::cout << "list: valid again after " << (now - before) / 1ms << " ms" << std::endl;
+  }
+  lease_over_.At(until);
+  relay_->ListValidUntil(until);
+}
+
+void Discovery::TellLeaseOfEnd(const Call& call, CallEnd end) {
+  using Lease = wheathub::ListLease;
+  if (end == CallEnd::kNotConnected) return TellLease(Lease::Unreachable{});
+  if (call.subscribed()) {
+    const bool ended = end == CallEnd::kEnded && !call.in_message();
+    return TellLease(ended ? Lease::Event(Lease::SubscriptionEnded{}) : Lease::SubscriptionBroken{});
+  }
+  if (end != CallEnd::kRefused && end != CallEnd::kClosed) return;
+  if (call.age() > Lease::kAtOnce) return TellLease(Lease::RefusedLate{call.started()});
+  if (end == CallEnd::kRefused) TellLease(Lease::RefusedAtOnce{});
+}
+
+void Discovery::LeaseOver() {
+  counters_.list_leases_over += 1;
+  std::cout << "list: not confirmed for too long, no call begins" << std::endl;
+}
+
+bool Discovery::ConnectsInVain() const {
+  return std::any_of(calls_.begin(), calls_.end(), [](const std::unique_ptr<Call>& call) {
+    return !call->connected() && call->age() >= kConnectsWithin;
+  });
+}
+
 void Discovery::Open(const Subscription::Call& call) {
+  // Another call while one stands: it is silent.
+  if (subscription_->subscription() != 0) TellLease(wheathub::ListLease::SubscriptionBroken{});
+  if (ConnectsInVain()) TellLease(wheathub::ListLease::Unreachable{});
   if (call.gives_up) {
     counters_.list_failures += 1;
     Drop(*call.gives_up, CallEnd::kGivenUp);
@@ -84,6 +133,12 @@
             << std::endl;
 }
 
+Discovery::Call* Discovery::Find(Number number) const {
+  const auto it = std::find_if(calls_.begin(), calls_.end(),
+                               [number](const auto& call) { return call->number() == number; });
+  return it == calls_.end() ? nullptr : it->get();
+}
+
 void Discovery::Drop(Number number, CallEnd end) {
   const auto it = std::find_if(calls_.begin(), calls_.end(),
                                [number](const auto& call) { return call->number() == number; });
@@ -107,6 +162,7 @@
 void Discovery::Heard(Number number) {
   heard_at_ = net::Loop::Now();
   if (subscription_ == nullptr) return;
+  TellLease(wheathub::ListLease::Confirmed{});
   const Number before = subscription_->subscription();
   Tell(Subscription::Heard{number});
   if (before == number || subscription_->subscription() != number) return;
@@ -124,6 +180,7 @@
 
 void Discovery::Failed(Number number, CallEnd end) {
   counters_.list_failures += 1;
+  if (const Call* call = Find(number)) TellLeaseOfEnd(*call, end);
   Drop(number, end);
   Tell(Subscription::Failed{number});
 }
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "relay/counters.hpp"
 #include "relay/relay.hpp"
 #include "routing/list.hpp"
+#include "wheathub/list_lease.hpp"
 #include "wheathub/list_subscription.hpp"
 
 namespace oxbowspread::routing {
@@ -31,8 +33,11 @@
   // Zones and kinds are named so from now on.
   void SetNames(Names names) { names_ = std::move(names); }
 
-  // From now on the list is kept up to date. `at_once` where another process did so until now.
-  void Start(const wheathub::ListSubscription::Options& options, std::uint64_t seed, bool at_once);
+  // From now on the list is kept up to date. `inherited` where another process did so until now.
+  void Start(const wheathub::ListSubscription::Options& options, std::uint64_t seed,
+             const std::optional<wheathub::ListLease::Inherited>& inherited);
+  // Until when the list may be used.
+  net::Time list_valid_until() const { return lease_.valid_until(); }
   void SetOptions(const wheathub::ListSubscription::Options& options);
   // Discovery is somewhere else now.
   void MoveTo(Place place);
@@ -69,6 +74,11 @@
     void ReadAndClose();
     Number number() const { return number_; }
     net::Time age() const { return net::Loop::Now() - started_; }
+    net::Time started() const { return started_; }
+    bool connected() const { return connected_; }
+    bool subscribed() const { return listed_; }
+    // Part of a message has come, and the rest has not.
+    bool in_message() const { return stream_.held() > 0; }
 
    private:
     void OnConnected() override;
@@ -92,7 +102,14 @@
   };
 
   void Tell(const Subscription::Event& event);
+  // What the end of that call says of discovery.
+  void TellLeaseOfEnd(const Call& call, CallEnd end);
+  void TellLease(const wheathub::ListLease::Event& event);
+  void LeaseOver();
+  // Whether a call has waited so long for its connection that discovery can't be reached.
+  bool ConnectsInVain() const;
   void Open(const Subscription::Call& call);
+  Call* Find(Number number) const;
   void Drop(Number number, CallEnd end);
   void CloseAll(CallEnd end);
   void Heard(Number number);
@@ -107,11 +124,13 @@
   relay::Counters& counters_;
   relay::Relay* relay_ = nullptr;
   std::unique_ptr<Subscription> subscription_;  // once started
+  wheathub::ListLease lease_;
   std::vector<std::unique_ptr<Call>> calls_;
   std::int64_t revision_ = 0;
   net::Time heard_at_ = net::Loop::Now();
   std::string last_unreadable_;  // named in the log last
   net::Timer alarm_;
+  net::Timer lease_over_;
   net::Timer behind_;  // runs while all that comes is older than what is known
 };
 
--- a/tests/lab/hosts_test.cpp
+++ b/tests/lab/hosts_test.cpp
@@ -35,6 +35,17 @@
 
 }  // namespace
 
+TEST_CASE("hosts: nothing is written once the list is too old, until it is valid again", "[hosts]") {
+  Hosts hosts;
+  hosts.Adopt(Change({Named("a", "127.0.0.1:1")}), 10s);
+  CHECK(May(hosts, "a", 30s));
+  hosts.ListValidUntil(20s);
+  CHECK(May(hosts, "a", 20s - 1us));
+  CHECK_FALSE(May(hosts, "a", 20s));
+  hosts.ListValidUntil(25s);
+  CHECK(May(hosts, "a", 20s));
+}
+
 TEST_CASE("hosts: a drain, a wait and a window each end what may be written", "[hosts]") {
   Hosts hosts;
   CHECK(hosts.Find("a") == nullptr);
--- a/tests/relay/list_crossing_test.cpp
+++ b/tests/relay/list_crossing_test.cpp
@@ -141,11 +141,13 @@
   l.relay.Start();
   l.world.Until([&] { return l.world.watches == 1; });
   const auto first = Clock::now();
+  l.world.Until([&] { return l.world.watches == 2; }, 15s);
+  // By the list that it had last, as long as that may be used: see list_lease_test for what follows.
+  Client client(l.relay);
+  CHECK(l.HostsOf(client, 1).size() == 1);
   l.world.Until([&] { return l.world.watches == 4; }, 15s);
   // A first repeat waits 0.2 to 1.2 s, the ones behind it twice that.
   CHECK(Clock::now() - first > 1s);
-  Client client(l.relay);
-  CHECK(l.HostsOf(client, 1).size() == 1);
   l.world.refusing = false;
   l.world.Until([&] { return l.world.watches == 5; });
   l.UntilCount(client, "list_changes", 2);
--- a/tests/relay/list_lease_test.cpp
+++ b/tests/relay/list_lease_test.cpp
@@ -103,6 +103,31 @@
   CHECK(CallsToDraining(clients) == 0);
 }
 
+// Discovery is out of order if it ends the subscription and each call waits for its refusal; while a
+// subscription broke off in its change, or a call is refused at once, it may as well be crowded.
+void CheckCalledOn(bool broken, bool called_on) {
+  Fleet f(1);
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  std::deque<Client> clients = ClientsOf(f);
+  f.world.refusing = true;
+  f.world.refuses_after = 2s;
+  if (broken) f.world.TellText("{\"version\":2,");
+  f.world.EndWatches();
+  KeepAsking(f, clients, Clock::now() + kKnownWithin + 3s);
+  clients.front().Put("id-a", "hello", 8000, ",k=key1,dest=7");
+  CHECK(clients.front().Line() == "+OK");
+  CHECK(f.world.CallWithin(500ms) == called_on);
+}
+
+TEST_CASE("hosts are called on through an outage of discovery that is seen as one") {
+  CheckCalledOn(/*broken=*/false, /*called_on=*/true);
+}
+
+TEST_CASE("no host is called where a subscription broke off and calls for the list are refused late") {
+  CheckCalledOn(/*broken=*/true, /*called_on=*/false);
+}
+
 // Nothing that changes while nobody can reach discovery counts as known: a relay must not stop for its
 // outage.
 TEST_CASE("hosts are called on while connections to discovery are refused") {
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -209,6 +209,7 @@
       if (peer.watch && !peer.left) Chunk(peer.socket, "\n");
     }
   }
+  RefuseDue();
   AnswerInTurn();
   std::vector<pollfd> polls{{discovery_.fd(), static_cast<short>(accepting ? POLLIN : 0), 0}};
   std::vector<std::string> names;
@@ -283,7 +284,10 @@
   }
   watches += 1;
   if (silent) return;
-  if (refusing) return peer.socket.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  if (refusing) {
+    refusals_.emplace_back(Clock::now() + refuses_after, &peer);
+    return RefuseDue();
+  }
   if (each_call == 0ms) return AnswerWatch(peer);
   if (queue_.empty()) turn_at_ = Clock::now() + each_call;
   queue_.push_back(&peer);
@@ -298,6 +302,13 @@
   peer.watch = false;
 }
 
+void World::RefuseDue() {
+  while (!refusals_.empty() && refusals_.front().first <= Clock::now()) {
+    refusals_.front().second->socket.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    refusals_.pop_front();
+  }
+}
+
 void World::AnswerInTurn() {
   while (!queue_.empty() && Clock::now() >= turn_at_) {
     Peer* const peer = queue_.front();
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -103,9 +103,10 @@
   int watches = 0;
   int standing() const;  // watches that were answered and have not ended
   bool heartbeats = true;
-  bool silent = false;                     // discovery takes what is asked, and never answers
-  bool refusing = false;                   // it answers each call by 503
-  bool accepting = true;                   // else connections to it come up and are never looked at
+  bool silent = false;                         // discovery takes what is asked, and never answers
+  bool refusing = false;                       // it answers each call by 503
+  std::chrono::milliseconds refuses_after{0};  // so long after it came
+  bool accepting = true;                       // else connections to it come up and are never looked at
   bool beating_only = false;               // it answers 200 and then nothing but empty lines, never a list
   bool ending = false;                     // it ends each watch behind its first list
   std::chrono::milliseconds each_call{0};  // it works through calls one by one, given-up ones as well
@@ -124,6 +125,7 @@
   void OnDiscovery(Peer& peer, const HttpRequest& request);
   void AnswerWatch(Peer& peer);
   void AnswerInTurn();
+  void RefuseDue();
   static void Chunk(const Socket& socket, const std::string& text);
 
   Socket discovery_;
@@ -132,7 +134,8 @@
   std::list<Socket> ended_;  // kept, so that a call's `from` stays good
   std::map<const Socket*, std::string> host_of_;
   std::vector<HttpRequest> calls_;
-  std::list<Peer*> queue_;  // watches asked for that wait for their turn
+  std::list<Peer*> queue_;                                   // watches asked for that wait for their turn
+  std::list<std::pair<Clock::time_point, Peer*>> refusals_;  // by when they are due
   Clock::time_point turn_at_ = Clock::now();
   std::map<std::string, nlohmann::json> hosts_;
   Clock::time_point heartbeat_ = Clock::now();
