--- a/include/wheathub/list_lease.hpp
+++ b/include/wheathub/list_lease.hpp
@@ -76,6 +76,8 @@
 
   static constexpr Time kAtOnce{1'000'000};
 
+  // What the refusal at `now` of a call begun at `begun` is.
+  static Event Refused(Time begun, Time now);
   // Returns valid_until().
   Time Step(Time now, const Event& event);
   // No call may begin at this moment or later; Time::max() before the start.
--- a/src/apps/oxbowlab.cpp
+++ b/src/apps/oxbowlab.cpp
@@ -19,6 +19,7 @@
 #include "lab/settings.hpp"
 #include "lab/simulation.hpp"
 #include "lab/stage.hpp"
+#include "model/soak.hpp"
 #include "results/child.hpp"
 #include "results/compare.hpp"
 #include "results/report.hpp"
@@ -62,6 +63,85 @@
   return outcome.clean() ? 0 : kBroken;
 }
 
+// ---- soak ----
+
+struct Soak {
+  std::string seeds = "1-10", relay, program, keep;
+  int jobs = 2;
+};
+
+// One day in this process; its report as JSON.
+int PlaySoak(std::uint64_t seed, const std::string& relay, const std::string& folder) {
+  const model::Scenario scenario = model::DrawSoak(seed);
+  const model::Day day = model::Draw(scenario, seed);
+  const std::string at =
+      folder.empty()
+          ? (std::filesystem::temp_directory_path() / ("oxbowlab-" + std::to_string(getpid()))).string()
+          : folder + "/" + scenario.name;
+  std::ofstream trace;
+  lab::OnTrace keep;
+  if (!folder.empty()) {
+    std::filesystem::create_directories(folder);
+    trace.open(at + ".trace");
+    keep = [&](const trace::Event& event) { trace << trace::ToLine(event) << "\n"; };
+  }
+  const lab::Outcome outcome = lab::Play(scenario, day, {relay, at, keep});
+  std::cout << lab::ReportOf(outcome, day, scenario.name).dump() << "\n";
+  return outcome.clean() ? 0 : kBroken;
+}
+
+void PrintSoak(std::uint64_t seed, const Json& report) {
+  const Json& breaches = report.at("breaches");
+  std::string broken;
+  for (const Json& breach : breaches) {
+    const std::string rule = breach.at("rule");
+    if (broken.find(rule) == std::string::npos) broken += (broken.empty() ? "" : " ") + rule;
+  }
+  const Json& figures = report.at("figures");
+  std::printf("| %llu | %ld | %ld, %ld | %zu %s | %s | %s |\n", static_cast<unsigned long long>(seed),
+              figures.at("calls").get<long>(), figures.at("asked").get<long>(),
+              figures.at("delivered").get<long>(), breaches.size(), broken.c_str(),
+              report.at("crash").get<std::string>().c_str(), report.at("spoilt").get<std::string>().c_str());
+  std::fflush(stdout);
+}
+
+// Each day is a process of its own. Ends with kBroken if a rule was broken or a relay crashed; a day that the
+// load spoilt is shown as one, and says nothing of what it would have been.
+int RunSoak(const Soak& soak) {
+  const auto seeds = results::ReadSeeds(soak.seeds);
+  std::printf("| seed | calls | asked, delivered | breaches | crash | spoilt |\n");
+  std::printf("| --- | --- | --- | --- | --- | --- |\n");
+  std::mutex lock;
+  std::atomic<std::size_t> next{0};
+  std::size_t bad = 0, spoilt = 0;
+  std::string fault;
+  const auto play = [&] {
+    for (std::size_t i = next++; i < seeds.size(); i = next++) {
+      std::vector<std::string> words = {soak.program, "soak",    "--one", std::to_string(seeds[i]),
+                                        "--relay",    soak.relay};
+      if (!soak.keep.empty()) words.insert(words.end(), {"--keep", soak.keep});
+      const results::Ran ran = results::RunToEnd(words);
+      const std::lock_guard<std::mutex> hold(lock);
+      if (ran.exit_code != 0 && ran.exit_code != kBroken) {
+        if (fault.empty()) fault = "seed " + std::to_string(seeds[i]) + ": " + ran.err;
+        continue;
+      }
+      const Json report = Json::parse(ran.out);
+      PrintSoak(seeds[i], report);
+      const bool broken = !report.at("breaches").empty() || !report.at("crash").get<std::string>().empty();
+      bad += broken;
+      spoilt += !broken && ran.exit_code != 0;
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < soak.jobs; ++i) threads.emplace_back(play);
+  for (std::thread& thread : threads) thread.join();
+  std::printf("%zu days: %zu with a broken rule or a crash, %zu spoilt by the load\n", seeds.size(), bad,
+              spoilt);
+  if (!fault.empty()) throw std::runtime_error(fault);
+  return bad == 0 ? 0 : kBroken;
+}
+
 int Check(const std::string& file, const std::string& scenario_file) {
   std::ifstream in(file);
   if (!in) throw yaml::Error(file + ": can't be read");
@@ -307,6 +387,18 @@
   }
   run->add_option("--relay", day.relay, "the relay's program (beside this one)");
 
+  Soak soaked;
+  soaked.relay = beside;
+  soaked.program = argv[0];
+  std::uint64_t one_seed = 0;
+  CLI::App* const soak = app.add_subcommand("soak", "days on sockets with faults drawn from seeds");
+  soak->add_option("--seeds", soaked.seeds, "such as 1-50 (1-10)");
+  soak->add_option("--jobs", soaked.jobs, "days at once (2)")->check(CLI::Range(1, 64));
+  soak->add_option("--relay", soaked.relay, "the relay's program (beside this one)");
+  soak->add_option("--keep", soaked.keep,
+                   "a folder for traces, and for what relays leave on days that are not clean");
+  soak->add_option("--one", one_seed, "this day alone, in this process; one JSON object");
+
   std::string file, scenario_file;
   CLI::App* const check = app.add_subcommand("check", "the rules, on a trace that was kept");
   check->add_option("TRACE", file, "one JSON object a line")->required();
@@ -362,6 +454,8 @@
   if (const auto code = apps::Parse(app, "oxbowlab", argc, argv)) return *code;
   try {
     if (sim->parsed() || run->parsed()) return Play(day, run->parsed());
+    if (soak->parsed() && one_seed > 0) return PlaySoak(one_seed, soaked.relay, soaked.keep);
+    if (soak->parsed()) return RunSoak(soaked);
     if (check->parsed()) return Check(file, scenario_file);
     if (many->parsed()) return RunSweep(sweep);
     if (search->parsed()) {
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -336,19 +336,47 @@
 
 void Node::Refuse(const model::RefuseList& refused) {
   if (refused.call <= list_calls_before_) return;
-  StepList(wheathub::ListSubscription::Failed{static_cast<int>(refused.call - list_calls_before_)});
+  const auto number = NumberOf(refused.call);
+  const auto begun = list_calls_begun_.find(number);
+  if (number == list_.subscription()) {
+    TellLease(wheathub::ListLease::SubscriptionEnded{});
+  } else if (begun != list_calls_begun_.end()) {
+    TellLease(wheathub::ListLease::Refused(begun->second, Now()));
+    list_calls_begun_.erase(begun);
+  }
+  StepList(wheathub::ListSubscription::Failed{number});
+}
+
+void Node::BreakList(std::uint64_t call) {
+  if (call <= list_calls_before_) return;
+  TellLease(wheathub::ListLease::SubscriptionBroken{});
+  StepList(wheathub::ListSubscription::Failed{NumberOf(call)});
+}
+
+void Node::MoveDiscovery() {
+  list_calls_begun_.clear();
+  if (list_.subscription() != 0) {
+    around_.Tell(model::WatchEnded{options_.number, CallOf(list_.subscription())});
+  }
+  TellLease(wheathub::ListLease::Moved{});
+  StepList(wheathub::ListSubscription::Moved{});
 }
 
 void Node::ListHeard(std::uint64_t call) {
   if (call <= list_calls_before_) return;
   TellLease(wheathub::ListLease::Confirmed{});
-  StepList(wheathub::ListSubscription::Heard{static_cast<int>(call - list_calls_before_)});
+  list_calls_begun_.clear();
+  StepList(wheathub::ListSubscription::Heard{NumberOf(call)});
 }
 
 void Node::TellLease(const wheathub::ListLease::Event& event) {
   relay_->ListValidUntil(lease_.Step(Now(), event));
 }
 
+wheathub::ListSubscription::CallNumber Node::NumberOf(std::uint64_t call) const {
+  return static_cast<int>(call - list_calls_before_);
+}
+
 std::uint64_t Node::CallOf(wheathub::ListSubscription::CallNumber number) const {
   return list_calls_before_ + static_cast<std::uint64_t>(number);
 }
@@ -356,6 +384,8 @@
 void Node::StepList(const wheathub::ListSubscription::Event& event) {
   for (const auto& call : list_.Step(Now(), event)) {
     if (call.gives_up) around_.Tell(model::WatchEnded{options_.number, CallOf(*call.gives_up)});
+    if (list_.subscription() != 0) TellLease(wheathub::ListLease::SubscriptionBroken{});
+    list_calls_begun_[call.number] = Now();
     around_.Tell(model::ListWanted{options_.number, CallOf(call.number), version_});
   }
   const std::uint64_t alarm = ++list_alarm_;
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -59,6 +59,8 @@
   void Adopt(const model::TellList& list);
   void Refuse(const model::RefuseList& refused);
   void Beat(const model::BeatWatch& beat);
+  void BreakList(std::uint64_t call);  // the watch breaks off in the middle of a message
+  void MoveDiscovery();
   void Terminate();
   // SIGSTOP and SIGCONT. Timers that fall due in between come at the end, in their order; whoever tells it
   // anything tells it through Meet, so that this does too.
@@ -90,6 +92,7 @@
   void StepList(const wheathub::ListSubscription::Event& event);
   void ListHeard(std::uint64_t call);
   void TellLease(const wheathub::ListLease::Event& event);
+  wheathub::ListSubscription::CallNumber NumberOf(std::uint64_t call) const;
   std::uint64_t CallOf(wheathub::ListSubscription::CallNumber number) const;
   void Post(const std::string& id, const journal::Ending& ending) override;
 
@@ -117,6 +120,7 @@
   std::int64_t version_ = 0;
   wheathub::ListSubscription list_;
   wheathub::ListLease lease_;
+  std::map<wheathub::ListSubscription::CallNumber, Time> list_calls_begun_;  // unanswered
   std::uint64_t list_calls_before_ = 0;  // of earlier lives: no two calls share a number
   std::uint64_t list_alarm_ = 0;         // the one that counts
   std::map<std::string, Pool> pools_;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -43,8 +43,18 @@
       return "discovery silent";
     case Kind::kDiscoverySlow:
       return "discovery slow";
+    case Kind::kDiscoveryCrowded:
+      return "discovery crowded";
     case Kind::kDiscoveryBack:
       return "discovery back";
+    case Kind::kBreakList:
+      return "change breaks off";
+    case Kind::kMoveDiscovery:
+      return "discovery moved";
+    case Kind::kSignals:
+      return "signals";
+    case Kind::kIdleClients:
+      return turn.value > 0 ? "idle clients" : "idle clients leave";
   }
   return "";
 }
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -114,6 +114,17 @@
   void Do(const model::BeatWatch& beat) {
     if (Node* node = Of(beat.relay)) node->Meet([node, beat] { node->Beat(beat); });
   }
+  void Do(const model::BreakList& broken) {
+    if (Node* node = Of(broken.list.relay)) {
+      node->Meet([node, call = broken.list.call] { node->BreakList(call); });
+    }
+  }
+  void Do(const model::MoveDiscovery& move) {
+    if (Node* node = Of(move.relay)) node->Meet([node] { node->MoveDiscovery(); });
+  }
+  // Signals that end nothing and clients that say nothing are for sockets.
+  void Do(const model::SignalRelay&) {}
+  void Do(const model::IdleClients&) {}
   // Lines ask the world itself.
   void Do(const model::HostUp&) {}
   void Do(const model::HostDown&) {}
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -29,7 +29,10 @@
 
 constexpr Time kLookEach = 10ms;  // at processes
 constexpr Time kReadyWithin = 20s;
-constexpr Time kKillAfter = 3700ms;  // after SIGTERM
+constexpr Time kKillAfter = 3700ms;    // after SIGTERM
+constexpr Time kOldPlaceFor = 1500ms;  // a discovery that has moved keeps its connections
+// Connections to one place of discovery are counted from here on, so that no two places share a number.
+constexpr std::uint64_t kCallsOfPlace = 1'000'000;
 
 class Stage final : public standin::ClientLine::Owner {
  public:
@@ -51,14 +54,7 @@
       Relay& relay = relays_[r];
       relay.listen = "127.0.0.1:" + std::to_string(standin::FreePort());
       relay.address = *net::ParseAddress(relay.listen);
-      relay.discovery = std::make_unique<standin::HttpServer>(
-          loop_, 0,
-          [this, r](std::uint64_t connection, const standin::Request& request) {
-            OnDiscovery(r, connection, request);
-          },
-          [this, r](std::uint64_t connection) {
-            Tell(model::WatchEnded{static_cast<int>(r), connection});
-          });
+      AddPlace(r);
     }
   }
 
@@ -86,10 +82,18 @@
   }
 
  private:
+  // One address of discovery, as that relay alone reaches it.
+  struct Place {
+    std::unique_ptr<standin::HttpServer> server;
+    Time closes_at{0};  // once it has moved
+  };
   struct Relay {
     std::string listen;
     net::Address address{};
-    std::unique_ptr<standin::HttpServer> discovery;
+    std::vector<Place> places;  // the last one counts
+    Json config;                // of this life
+    int signals = 0;            // still to be sent
+    std::vector<std::unique_ptr<standin::ClientLine>> idle_clients;
     std::set<std::uint64_t> answered;  // connections with a watch that has begun
     pid_t pid = 0;
     int lives = 0;
@@ -171,25 +175,58 @@
     return {{"version", list.version}, {"full", list.full}, {"servers", servers}};
   }
 
+  void AddPlace(std::size_t r) {
+    std::vector<Place>& places = relays_[r].places;
+    const std::uint64_t before = places.size() * kCallsOfPlace;
+    Place place;
+    place.server = std::make_unique<standin::HttpServer>(
+        loop_, 0,
+        [this, r, before](std::uint64_t connection, const standin::Request& request) {
+          OnDiscovery(r, before + connection, request);
+        },
+        [this, r, before](std::uint64_t connection) {
+          Tell(model::WatchEnded{static_cast<int>(r), before + connection});
+        });
+    places.push_back(std::move(place));
+  }
+  static standin::HttpServer* PlaceOf(Relay& relay, std::uint64_t call) {
+    return relay.places.at(call / kCallsOfPlace).server.get();
+  }
+  void WriteTo(int number, std::uint64_t call, const std::string& bytes) {
+    standin::HttpServer* const server = PlaceOf(relays_[static_cast<std::size_t>(number)], call);
+    if (server != nullptr) server->Write(call % kCallsOfPlace, bytes);
+  }
+  void CloseCall(int number, std::uint64_t call) {
+    standin::HttpServer* const server = PlaceOf(relays_[static_cast<std::size_t>(number)], call);
+    if (server != nullptr) server->Close(call % kCallsOfPlace);
+  }
+  std::string FolderOf(int number) const { return options_.folder + "/n" + std::to_string(number + 1); }
+  void WriteConfig(int number) {
+    Relay& relay = relays_[static_cast<std::size_t>(number)];
+    relay.config["discovery"] = "127.0.0.1:" + std::to_string(relay.places.back().server->port());
+    const std::string file = FolderOf(number) + "/config.json";
+    std::ofstream(file + ".new") << relay.config.dump();
+    std::filesystem::rename(file + ".new", file);
+  }
+
   void Start(int number) {
     Relay& relay = relays_[static_cast<std::size_t>(number)];
     if (relay.pid > 0) return;
-    const std::string name = "n" + std::to_string(number + 1), folder = options_.folder + "/" + name;
+    const std::string name = "n" + std::to_string(number + 1), folder = FolderOf(number);
     std::filesystem::create_directories(folder + "/state");
     std::ostringstream seed;
     seed << std::hex << SeedOf(day_, number, relay.lives++);
-    const Json config = {{"name", name},
-                         {"listen", relay.listen},
-                         {"discovery", "127.0.0.1:" + std::to_string(relay.discovery->port())},
-                         {"state", folder + "/state"},
-                         {"seed", seed.str()},
-                         {"limits",
-                          {{"memory_mb", scenario_.relay.memory_mb},
-                           {"sockets", scenario_.relay.sockets},
-                           {"disk_mb", scenario_.relay.disk_mb}}},
-                         {"known", ListJson(world_.Known(number), scenario_, ports_)},
-                         {"settings", Json::parse(SettingsOf(scenario_, day_, number))}};
-    std::ofstream(folder + "/config.json") << config.dump();
+    relay.config = {{"name", name},
+                    {"listen", relay.listen},
+                    {"state", folder + "/state"},
+                    {"seed", seed.str()},
+                    {"limits",
+                     {{"memory_mb", scenario_.relay.memory_mb},
+                      {"sockets", scenario_.relay.sockets},
+                      {"disk_mb", scenario_.relay.disk_mb}}},
+                    {"known", ListJson(world_.Known(number), scenario_, ports_)},
+                    {"settings", Json::parse(SettingsOf(scenario_, day_, number))}};
+    WriteConfig(number);
     supervise::Program program;
     program.path = options_.relay;
     program.environment["ROUTER_CONFIG"] = folder + "/config.json";
@@ -224,6 +261,8 @@
         relay.kill_at = Time(0);
       }
       if (relay.pid > 0 && !relay.answers && !relay.pinging) Ping(static_cast<int>(r));
+      if (relay.pid > 0 && relay.signals > 0) kill(relay.pid, relay.signals-- % 2 == 0 ? SIGHUP : SIGUSR1);
+      ClosePlaces(relay, now);
       all_ready = all_ready && relay.answers;
       all_gone = all_gone && relay.pid <= 0;
     }
@@ -239,9 +278,16 @@
     }
   }
 
+  void ClosePlaces(Relay& relay, Time now) {
+    for (Place& place : relay.places) {
+      if (place.closes_at > 0us && now >= place.closes_at) loop_.Dispose(std::move(place.server));
+    }
+  }
+
   void Gone(std::size_t r, int status, const rusage& used) {
     Relay& relay = relays_[r];
     relay.pid = 0;
+    relay.signals = 0;
     relay.answers = false;
     const auto micro = [](const timeval& t) { return Time(t.tv_sec * 1'000'000 + t.tv_usec); };
     outcome_.cpu += micro(used.ru_utime) + micro(used.ru_stime);
@@ -278,8 +324,38 @@
     if (pid > 0) kill(pid, signal);
   }
 
+  void Do(const model::MoveDiscovery& move) {
+    Relay& relay = relays_[static_cast<std::size_t>(move.relay)];
+    relay.places.back().closes_at = net::Loop::Now() + kOldPlaceFor;
+    AddPlace(static_cast<std::size_t>(move.relay));
+    if (relay.pid <= 0) return;
+    WriteConfig(move.relay);
+    kill(relay.pid, SIGHUP);
+  }
+  void Do(const model::SignalRelay& order) {
+    relays_[static_cast<std::size_t>(order.relay)].signals = order.count;
+  }
+  void Do(const model::IdleClients& order) {
+    Relay& relay = relays_[static_cast<std::size_t>(order.relay)];
+    for (auto& line : relay.idle_clients) {
+      line->Close();
+      loop_.Dispose(std::move(line));
+    }
+    relay.idle_clients.clear();
+    for (int i = 0; i < order.count; ++i) {
+      relay.idle_clients.push_back(
+          std::make_unique<standin::ClientLine>(loop_, idle_owner_, relay.address, Time(0)));
+    }
+  }
+
   // ---- clients ----
 
+  // Whatever becomes of clients that say nothing is their relay's affair.
+  class IdleOwner final : public standin::ClientLine::Owner {
+    void OnAnswer(standin::ClientLine&, const std::string&) override {}
+    void OnBreak(standin::ClientLine&, const standin::ClientLine::Break&) override {}
+  };
+
   standin::ClientLine* NewLine(int relay) {
     auto line = std::make_unique<standin::ClientLine>(
         loop_, *this, relays_[static_cast<std::size_t>(relay)].address, Time(0));
@@ -462,7 +538,6 @@
   // ---- discovery and the platform ----
 
   void OnDiscovery(std::size_t r, std::uint64_t connection, const standin::Request& request) {
-    Relay& relay = relays_[r];
     const int number = static_cast<int>(r);
     if (request.target == "/v1/outcomes") {
       std::istringstream lines(request.body);
@@ -472,7 +547,7 @@
         Tell(model::Noticed{number, notice.value("id", ""), notice.value("status", "") == "deferred",
                             Time(notice.value("again_ms", std::int64_t{0}) * 1000)});
       }
-      relay.discovery->Write(connection, standin::Answer("204 No Content"));
+      WriteTo(number, connection, standin::Answer("204 No Content"));
     } else {
       ++list_calls_;
       const std::size_t from = request.target.find("from=");
@@ -484,19 +559,26 @@
   void Do(const model::TellList& list) {
     Relay& relay = relays_[static_cast<std::size_t>(list.relay)];
     if (relay.answered.insert(list.call).second) {
-      relay.discovery->Write(list.call, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      WriteTo(list.relay, list.call, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
-    relay.discovery->Write(list.call, standin::Chunk(ListJson(list, scenario_, ports_).dump() + "\n"));
+    WriteTo(list.relay, list.call, ChunkOf(list));
+  }
+  void Do(const model::BreakList& broken) {
+    const model::TellList& list = broken.list;
+    const std::string whole = ChunkOf(list);
+    WriteTo(list.relay, list.call, whole.substr(0, whole.size() / 2));
+    CloseCall(list.relay, list.call);
+  }
+  std::string ChunkOf(const model::TellList& list) const {
+    return standin::Chunk(ListJson(list, scenario_, ports_).dump() + "\n");
   }
   void Do(const model::RefuseList& refused) {
     Relay& relay = relays_[static_cast<std::size_t>(refused.relay)];
     const bool watch = relay.answered.count(refused.call) > 0;
-    if (!watch) relay.discovery->Write(refused.call, standin::Answer("503 Service Unavailable"));
-    relay.discovery->Close(refused.call);
-  }
-  void Do(const model::BeatWatch& beat) {
-    relays_[static_cast<std::size_t>(beat.relay)].discovery->Write(beat.call, standin::Chunk("\n"));
+    if (!watch) WriteTo(refused.relay, refused.call, standin::Answer("503 Service Unavailable"));
+    CloseCall(refused.relay, refused.call);
   }
+  void Do(const model::BeatWatch& beat) { WriteTo(beat.relay, beat.call, standin::Chunk("\n")); }
 
   void CountSecond() {
     second_.After(1s);
@@ -516,6 +598,7 @@
   bool ended_ = false;
   Outcome outcome_;
   std::vector<model::Input> inputs_;
+  IdleOwner idle_owner_;
   std::vector<Relay> relays_;
   std::deque<int> starts_;            // relays to be started
   std::map<std::string, int> ports_;  // by the model's address
--- a/src/list_lease.cpp
+++ b/src/list_lease.cpp
@@ -5,6 +5,10 @@
 
 namespace wheathub {
 
+ListLease::Event ListLease::Refused(Time begun, Time now) {
+  return now - begun > kAtOnce ? Event(RefusedLate{begun}) : Event(RefusedAtOnce{});
+}
+
 ListLease::Time ListLease::Step(Time now, const Event& event) {
   std::visit([&](const auto& e) { On(now, e); }, event);
   return valid_until_;
--- a/src/model/day.cpp
+++ b/src/model/day.cpp
@@ -150,8 +150,30 @@
           Add(at, Turn::Kind::kLag, -1, dice.In(t.by));
           Add(at + length, Turn::Kind::kLag, -1, 0);
           break;
+        case Trouble::Kind::kDiscoveryCrowded:
+          Add(at, Turn::Kind::kDiscoveryCrowded, -1, share);
+          Add(at + length, Turn::Kind::kDiscoveryBack, -1);
+          break;
+        case Trouble::Kind::kListsBroken:
+          for (const int relay : SomeRelays(share, dice))
+            Add(at + length * dice.Share(), Turn::Kind::kBreakList, relay);
+          break;
+        case Trouble::Kind::kDiscoveryMoved:
+          for (const int relay : SomeRelays(share, dice))
+            Add(at + length * dice.Share(), Turn::Kind::kMoveDiscovery, relay);
+          break;
+        case Trouble::Kind::kSignals:
+          for (const int relay : SomeRelays(share, dice))
+            Add(at + length * dice.Share(), Turn::Kind::kSignals, relay, t.count);
+          break;
+        case Trouble::Kind::kIdleClients:
+          for (const int relay : SomeRelays(share, dice)) {
+            Add(at, Turn::Kind::kIdleClients, relay, t.count);
+            Add(at + length, Turn::Kind::kIdleClients, relay, 0);
+          }
+          break;
         case Trouble::Kind::kDiscoveryDown:
-          Add(at, Turn::Kind::kDiscoveryDown, -1);
+          Add(at, Turn::Kind::kDiscoveryDown, -1, dice.In(t.refuses_after));
           Add(at + length, Turn::Kind::kDiscoveryBack, -1);
           break;
         case Trouble::Kind::kDiscoverySilent:
--- a/src/model/day.hpp
+++ b/src/model/day.hpp
@@ -54,13 +54,20 @@
     kDiscoveryDown,
     kDiscoverySilent,
     kDiscoverySlow,
-    kDiscoveryBack
+    kDiscoveryCrowded,
+    kDiscoveryBack,
+    kBreakList,
+    kMoveDiscovery,
+    kSignals,
+    kIdleClients
   };
   Time at{0};
   Kind kind = Kind::kLag;
   int index = -1;  // of the relay or the host
   // kTerminate: seconds down after its end. kOutage: chance that a call fails, 1 and above: shut. kLag:
   // seconds by which the list is later from now on. kDiscoverySlow: seconds that a call takes.
+  // kDiscoveryDown: seconds until a call is refused. kDiscoveryCrowded: chance that one is. kSignals and
+  // kIdleClients: how many.
   double value = 0;
   Time until{0};  // kOutage: when it ends
 };
--- a/src/model/scenario.cpp
+++ b/src/model/scenario.cpp
@@ -183,7 +183,12 @@
         {"partners_shut", {Trouble::Kind::kPartnersShut, {"at", "for", "share"}}},
         {"partners_draw", {Trouble::Kind::kPartnersDraw, {"at", "for", "share", "count"}}},
         {"partners_down", {Trouble::Kind::kPartnersDown, {"at", "for", "share"}}},
-        {"discovery_down", {Trouble::Kind::kDiscoveryDown, {"at", "for"}}},
+        {"discovery_down", {Trouble::Kind::kDiscoveryDown, {"at", "for", "refuses_after"}}},
+        {"discovery_crowded", {Trouble::Kind::kDiscoveryCrowded, {"at", "for", "share"}}},
+        {"lists_broken", {Trouble::Kind::kListsBroken, {"at", "for", "share"}}},
+        {"discovery_moved", {Trouble::Kind::kDiscoveryMoved, {"at", "for", "share"}}},
+        {"signals", {Trouble::Kind::kSignals, {"at", "for", "share", "count"}}},
+        {"idle_clients", {Trouble::Kind::kIdleClients, {"at", "for", "share", "count"}}},
         {"discovery_silent", {Trouble::Kind::kDiscoverySilent, {"at", "for"}}},
         {"discovery_slow", {Trouble::Kind::kDiscoverySlow, {"at", "for", "each"}}},
         {"hosts_replaced", {Trouble::Kind::kHostsReplaced, {"at", "for", "count", "same_address", "drain"}}}};
@@ -211,6 +216,7 @@
     Spans(map, "by", where, &t.by);
     Spans(map, "each", where, &t.each);
     Spans(map, "down", where, &t.down);
+    Spans(map, "refuses_after", where, &t.refuses_after);
     Spans(map, "drain", where, &t.drain);
     t.count = Whole(map, "count", where, 1, 100'000, t.count);
     t.at_once = Whole(map, "at_once", where, 1, 100'000, t.at_once);
--- a/src/model/scenario.hpp
+++ b/src/model/scenario.hpp
@@ -29,15 +29,21 @@
     kDiscoverySilent,  // discovery answers no call, and its watches say nothing any more, for good
     kDiscoverySlow,  // discovery works through calls in turn, `each` a call, and refuses those that wait for
                      // 2 s
+    kDiscoveryCrowded,  // discovery refuses `share` of the calls at once, and goes on with its watches
+    kListsBroken,  // at `share` of the relays the next message of the watch breaks off in its middle, with it
+    kDiscoveryMoved,  // `share` of the relays are told by SIGHUP, in turn over `length`, of another address
+    kSignals,         // `share` of the relays get `count` signals that end nothing, one after another
+    kIdleClients,     // `count` clients connect to `share` of the relays, say nothing, and leave at the end
   };
   Kind kind = Kind::kListBehind;
   Range at, length;  // s
   Range share{1, 1};
   Range chance{0.7, 0.7};
-  Range by{0, 0};          // s
-  Range each{0.02, 0.02};  // s
-  Range down{1, 1};        // s
-  Range drain{6, 6};       // s; from the drain of a host that is replaced until it is gone
+  Range by{0, 0};             // s
+  Range each{0.02, 0.02};     // s
+  Range down{1, 1};           // s
+  Range refuses_after{0, 0};  // s; discovery that is down
+  Range drain{6, 6};          // s; from the drain of a host that is replaced until it is gone
   int count = 1, at_once = 1;
   bool same = false;
 };
--- /dev/null
+++ b/src/model/soak.cpp
@@ -0,0 +1,77 @@
+#include "model/soak.hpp"
+
+#include <array>
+#include <string>
+
+#include "model/dice.hpp"
+
+namespace oxbowspread::model {
+namespace {
+
+using Kind = Trouble::Kind;
+
+constexpr double kLengthS = 13;
+constexpr int kLeastTroubles = 4, kMostTroubles = 8;  // beside those of each day
+constexpr double kCrowdChance = 0.3;                  // of clients that say nothing
+
+// Each ends before the day does, so that what it leaves behind is seen.
+constexpr std::array kDrawn = {
+    Kind::kRelaysKilled,     Kind::kRelaysStopped,   Kind::kRelaysRolled,   Kind::kListBehind,
+    Kind::kPartnersFail,     Kind::kPartnersShut,    Kind::kPartnersDown,   Kind::kHostsReplaced,
+    Kind::kDiscoveryDown,    Kind::kDiscoverySilent, Kind::kDiscoverySlow,  Kind::kDiscoveryCrowded,
+    Kind::kDiscoveryCrowded, Kind::kListsBroken,     Kind::kDiscoveryMoved, Kind::kSignals,
+};
+
+Range Just(double value) { return {value, value}; }
+
+Trouble DrawTrouble(Kind kind, Dice& dice) {
+  Trouble trouble;
+  trouble.kind = kind;
+  trouble.at = Just(dice.Between(0.5, 8));
+  trouble.length = Just(dice.Between(0.5, 5));
+  trouble.share = Just(dice.Between(0.2, 1));
+  trouble.chance = Just(dice.Between(0.4, 1));
+  trouble.by = Just(dice.Between(0.5, 4));
+  trouble.each = Just(dice.Between(0.05, 0.8));
+  trouble.down = Just(dice.Between(0.3, 1));
+  trouble.refuses_after = Just(dice.Happens(0.5) ? 0 : 2);
+  trouble.drain = {2, 8};
+  trouble.count = 1 + static_cast<int>(dice.Below(6));
+  trouble.at_once = 1 + static_cast<int>(dice.Below(3));
+  trouble.same = dice.Happens(0.3);
+  return trouble;
+}
+
+Trouble DrawCrowd(Dice& dice) {
+  Trouble crowd = DrawTrouble(Kind::kIdleClients, dice);
+  crowd.count = 50 + static_cast<int>(dice.Below(200));
+  return crowd;
+}
+
+}  // namespace
+
+Scenario DrawSoak(std::uint64_t seed) {
+  Dice dice(seed, "soak");
+  Scenario scenario;
+  scenario.name = "soak-" + std::to_string(seed);
+  scenario.version = scenario.name;
+  scenario.length = Just(kLengthS);
+  scenario.relays = 3 + static_cast<int>(dice.Below(4));
+  scenario.traffic.load = Just(dice.Between(0.3, 0.9));
+  scenario.partners.count = 6 + static_cast<int>(dice.Below(7));
+  scenario.partners.hosts = {2, 3};
+  scenario.network.list_lag = {0.2, 1};
+  scenario.relay.deadline = dice.Between(4, 8);
+  scenario.relay.window = dice.Between(2, 8);
+  scenario.relay.senders_told = dice.Happens(0.5) ? 1 : 50;  // as in a large fleet
+  scenario.troubles.push_back(DrawTrouble(Kind::kHostsReplaced, dice));
+  scenario.troubles.push_back(DrawTrouble(Kind::kRelaysRolled, dice));
+  const int more = kLeastTroubles + static_cast<int>(dice.Below(kMostTroubles - kLeastTroubles + 1));
+  for (int i = 0; i < more; ++i) {
+    scenario.troubles.push_back(DrawTrouble(kDrawn[dice.Below(kDrawn.size())], dice));
+  }
+  if (dice.Happens(kCrowdChance)) scenario.troubles.push_back(DrawCrowd(dice));
+  return scenario;
+}
+
+}  // namespace oxbowspread::model
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -137,6 +137,11 @@
       return Beat();
     case Todo::kListTurn:
       return ServeListQueue();
+    case Todo::kListRefused: {
+      const ListWanted wanted = refused_later_.extract(due.subject).mapped();
+      effects_.push_back(RefuseList{wanted.relay, wanted.call});
+      return;
+    }
     case Todo::kStart:
       effects_.push_back(StartRelay{static_cast<int>(due.subject)});
       return;
@@ -500,8 +505,21 @@
     case Turn::Kind::kDiscoveryDown:
     case Turn::Kind::kDiscoverySilent:
     case Turn::Kind::kDiscoverySlow:
+    case Turn::Kind::kDiscoveryCrowded:
     case Turn::Kind::kDiscoveryBack:
       return Discovery(turn);
+    case Turn::Kind::kBreakList:
+      relays_[index].break_next = true;
+      return;
+    case Turn::Kind::kMoveDiscovery:
+      if (relays_[index].up) effects_.push_back(MoveDiscovery{turn.index});
+      return;
+    case Turn::Kind::kSignals:
+      if (relays_[index].up) effects_.push_back(SignalRelay{turn.index, static_cast<int>(turn.value)});
+      return;
+    case Turn::Kind::kIdleClients:
+      effects_.push_back(IdleClients{turn.index, static_cast<int>(turn.value)});
+      return;
   }
 }
 
@@ -542,6 +560,14 @@
   TellList list;
   list.relay = number;
   list.call = relay.watch;
+  list.version = static_cast<std::int64_t>(published_);
+  if (relay.told < published_ && std::exchange(relay.break_next, false)) {
+    list.entries.assign(changes_.begin() + static_cast<std::ptrdiff_t>(relay.told),
+                        changes_.begin() + static_cast<std::ptrdiff_t>(published_));
+    relay.watch = 0;
+    effects_.push_back(BreakList{std::move(list)});
+    return;
+  }
   for (std::size_t v = relay.told; v < published_; ++v) {
     list.entries.push_back(changes_[v]);
     trace::Event event = EventOf(Kind::kTold);
@@ -551,7 +577,6 @@
     sink_(event);
   }
   relay.told = published_;
-  list.version = static_cast<std::int64_t>(published_);
   effects_.push_back(std::move(list));
 }
 
@@ -560,6 +585,10 @@
     case Service::kWorks:
       return AnswerList(wanted);
     case Service::kDown:
+      refused_later_[++refused_later_count_] = wanted;
+      return Add(now_ + refuses_after_, Todo::kListRefused, refused_later_count_);
+    case Service::kCrowded:
+      if (!network_.Happens(refused_share_)) return AnswerList(wanted);
       effects_.push_back(RefuseList{wanted.relay, wanted.call});
       return;
     case Service::kSilent:
@@ -618,11 +647,13 @@
 // While it is down or silent it can't be reached; watches that it has left silent stay so for good.
 void World::Discovery(const Turn& turn) {
   using TurnKind = Turn::Kind;
-  discovery_ = turn.kind == TurnKind::kDiscoveryDown     ? Service::kDown
-               : turn.kind == TurnKind::kDiscoverySilent ? Service::kSilent
-               : turn.kind == TurnKind::kDiscoverySlow   ? Service::kSlow
-                                                         : Service::kWorks;
-  list_call_ = turn.value;
+  discovery_ = turn.kind == TurnKind::kDiscoveryDown      ? Service::kDown
+               : turn.kind == TurnKind::kDiscoverySilent  ? Service::kSilent
+               : turn.kind == TurnKind::kDiscoverySlow    ? Service::kSlow
+               : turn.kind == TurnKind::kDiscoveryCrowded ? Service::kCrowded
+                                                          : Service::kWorks;
+  list_call_ = refused_share_ = turn.value;
+  refuses_after_ = Seconds(turn.value);
   if (discovery_ != Service::kSlow) {
     for (const auto& [since, wanted] : std::exchange(list_queue_, {})) {
       effects_.push_back(RefuseList{wanted.relay, wanted.call});
@@ -637,7 +668,7 @@
     relay.watch = 0;
   }
   trace::Event event = EventOf(Kind::kDiscovery);
-  event.up = discovery_ == Service::kWorks || discovery_ == Service::kSlow;
+  event.up = discovery_ != Service::kDown && discovery_ != Service::kSilent;
   sink_(event);
 }
 
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -104,6 +104,18 @@
   int relay = 0;
   std::uint64_t call = 0;
 };
+struct BreakList {  // what it tells breaks off in its middle, and the watch with it
+  TellList list;
+};
+struct MoveDiscovery {  // the relay is told of another address for it
+  int relay = 0;
+};
+struct SignalRelay {  // `count` signals that end nothing, one after another
+  int relay = 0, count = 0;
+};
+struct IdleClients {  // so many stay connected and say nothing
+  int relay = 0, count = 0;
+};
 struct BeatWatch {  // says that nothing has changed
   int relay = 0;
   std::uint64_t call = 0;
@@ -130,7 +142,8 @@
   int relay = 0;
 };
 using Effect = std::variant<HandIn, LeaveHand, AnswerCall, BreakCall, TellList, RefuseList, BeatWatch, HostUp,
-                            HostDown, KillRelay, TerminateRelay, StartRelay, StopRelay, ContinueRelay>;
+                            HostDown, KillRelay, TerminateRelay, StartRelay, StopRelay, ContinueRelay,
+                            BreakList, MoveDiscovery, SignalRelay, IdleClients>;
 
 class World {
  public:
@@ -169,7 +182,8 @@
     kPublish,
     kStart,
     kBeat,
-    kListTurn
+    kListTurn,
+    kListRefused
   };
   struct Due {
     Time at;
@@ -210,9 +224,10 @@
     bool believed = true, up = false, stopped = false;
     std::uint64_t watch = 0;  // the call that stands; 0: none
     bool watch_silent = false;
-    Time notice_at{0};     // when the front passes it over, if it is still down
-    double down = 0;       // s after its end that it stays away; below 0: a turn starts it
-    std::size_t told = 0;  // version
+    bool break_next = false;  // message of the watch
+    Time notice_at{0};        // when the front passes it over, if it is still down
+    double down = 0;          // s after its end that it stays away; below 0: a turn starts it
+    std::size_t told = 0;     // version
   };
 
   void Add(Time at, Todo what, std::uint64_t subject);
@@ -267,8 +282,12 @@
   std::size_t published_ = 0;
   Time lag_{0}, last_publish_{0};
   // How discovery does, and the calls that wait for their turn while it is slow.
-  enum class Service { kWorks, kDown, kSilent, kSlow } discovery_ = Service::kWorks;
-  double list_call_ = 0;  // s that a call takes while it is slow
+  enum class Service { kWorks, kDown, kSilent, kSlow, kCrowded } discovery_ = Service::kWorks;
+  double list_call_ = 0;      // s that a call takes while it is slow
+  Time refuses_after_{0};     // a call, while it is down
+  double refused_share_ = 1;  // of the calls, while it is crowded
+  std::map<std::uint64_t, ListWanted> refused_later_;
+  std::uint64_t refused_later_count_ = 0;
   std::deque<std::pair<Time, ListWanted>> list_queue_;
   Time list_free_at_{0};
   std::vector<RelayState> relays_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -35,6 +35,20 @@
 }
 
 void Timer::After(Time span) {
+  due_at_ = Loop::Now() + std::max(Time(0), span);
+  looked_ = false;
+  Start(span);
+}
+
+void Timer::OnDue(ev::timer&, int) {
+  if (!looked_ && Loop::Now() - due_at_ > kLate) {
+    looked_ = true;
+    return Start(Time(0));
+  }
+  due_();
+}
+
+void Timer::Start(Time span) {
   timer_.stop();
   ev_now_update(loop_);  // libev counts from when it last polled, which a long callback leaves behind
   timer_.start(std::max(0.0, static_cast<double>(span.count()) * 1e-6), 0);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -36,8 +36,12 @@
   std::vector<std::shared_ptr<void>> disposed_;
 };
 
+// One that is called late, as after the process stood still, first lets the loop look once at its sockets: a
+// signal ends the loop's wait with nothing told of what has come, and what has come goes before timers.
 class Timer {
  public:
+  static constexpr Time kLate{20'000};
+
   Timer(Loop& loop, std::function<void()> due);
   void After(Time span);
   void At(Time moment) { After(moment - Loop::Now()); }
@@ -45,8 +49,11 @@
   bool active() const { return timer_.is_active(); }
 
  private:
-  void OnDue(ev::timer&, int) { due_(); }
+  void OnDue(ev::timer&, int);
+  void Start(Time span);
 
+  Time due_at_{0};
+  bool looked_ = false;  // the loop has looked at its sockets since this one was found late
   ev::timer timer_;
   ev::loop_ref loop_;
   std::function<void()> due_;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -89,9 +89,10 @@
     const bool ended = end == CallEnd::kEnded && !call.in_message();
     return TellLease(ended ? Lease::Event(Lease::SubscriptionEnded{}) : Lease::SubscriptionBroken{});
   }
-  if (end != CallEnd::kRefused && end != CallEnd::kClosed) return;
-  if (call.age() > Lease::kAtOnce) return TellLease(Lease::RefusedLate{call.started()});
-  if (end == CallEnd::kRefused) TellLease(Lease::RefusedAtOnce{});
+  const Lease::Event refused = Lease::Refused(call.started(), net::Loop::Now());
+  const bool late = std::holds_alternative<Lease::RefusedLate>(refused);
+  // A connection that is closed at once may have broken by itself.
+  if (end == CallEnd::kRefused || (end == CallEnd::kClosed && late)) TellLease(refused);
 }
 
 void Discovery::LeaseOver() {
--- a/tests/relay/list_deadline_test.cpp
+++ b/tests/relay/list_deadline_test.cpp
@@ -189,8 +189,8 @@
   CHECK(f.CallDraining() == 0);
 }
 
-// Guards against a watch that is given up with the heartbeat of a relay that stood still unread.
-TEST_CASE("a relay that stood still reads what its watch has said before it calls the watch silent") {
+// A relay stands still while its watch says something, so long that the watch is overdue by then.
+void CheckWatchIsRead(bool signalled) {
   Fleet f(1);
   f.Start();
   f.UntilEachHas("list_changes", 2);
@@ -199,10 +199,23 @@
   f.Pass(3500ms);
   f.world.TellText("\n");
   f.world.UntilTold();
+  if (signalled) relay.Signal(SIGUSR1);
   relay.GoOn();
+  // By the relay's own count: the world has not looked at its door since.
   Client client(relay);
-  client.Counters();
-  CHECK(f.world.watches == 1);
+  CHECK(client.Counters()["watches"] == 1);
+}
+
+// Guards against a watch that is given up with the heartbeat of a relay that stood still unread.
+TEST_CASE("a relay that stood still reads what its watch has said before it calls the watch silent") {
+  CheckWatchIsRead(/*signalled=*/false);
+}
+
+// Found by the soak test: a signal ends the wait for events with none of them told, and timers that had
+// fallen due meanwhile were called before anything was read, so that a call went to a host whose drain stood
+// unread.
+TEST_CASE("a relay that stood still and was signalled reads what its watch has said before timers are due") {
+  CheckWatchIsRead(/*signalled=*/true);
 }
 
 }  // namespace
