--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -262,7 +262,7 @@
       }
       if (relay.pid > 0 && !relay.answers && !relay.pinging) Ping(static_cast<int>(r));
       if (relay.pid > 0 && relay.signals > 0) kill(relay.pid, relay.signals-- % 2 == 0 ? SIGHUP : SIGUSR1);
-      ClosePlaces(relay, now);
+      ClosePlaces(r, now);
       all_ready = all_ready && relay.answers;
       all_gone = all_gone && relay.pid <= 0;
     }
@@ -278,9 +278,16 @@
     }
   }
 
-  void ClosePlaces(Relay& relay, Time now) {
-    for (Place& place : relay.places) {
-      if (place.closes_at > 0us && now >= place.closes_at) loop_.Dispose(std::move(place.server));
+  // Whoever has a watch there is told of nothing any more.
+  void ClosePlaces(std::size_t r, Time now) {
+    Relay& relay = relays_[r];
+    for (std::size_t i = 0; i < relay.places.size(); ++i) {
+      Place& place = relay.places[i];
+      if (place.server == nullptr || place.closes_at == 0us || now < place.closes_at) continue;
+      loop_.Dispose(std::move(place.server));
+      for (const std::uint64_t call : relay.answered) {
+        if (call / kCallsOfPlace == i) Tell(model::WatchEnded{static_cast<int>(r), call});
+      }
     }
   }
 
