Bind a wait that was told at an address to whichever host stands there

Callers' partners saw a call at an address within the wait that it had just told. Cause: a list lags, so a host that has taken over an address answers calls that were meant for the one before it; the wait was kept under that one's id (Hosts::ToldWait) and was gone with it.

Told waits are now kept by address as well, and bind whoever stands there or comes to stand there while they run. The module hears of it (event ToldWait), so that a message waits and spends no repeat on calls held back at their writing; a handover passes waits by address on. It holds because every call is written to an address, and every wait is told by one: no name from a list is needed.

--- a/include/wheathub/decide.hpp
+++ b/include/wheathub/decide.hpp
@@ -208,8 +208,15 @@
   Time until = Time::max();
 };
 
+// That endpoint told a wait in answer to a call that was sent to another one, at whose address it stands by
+// now. Passed over for an endpoint that no list has named.
+struct ToldWait {
+  EndpointId endpoint;
+  Time until{0};
+};
+
 using Event = std::variant<ListUpdate, Message, Withdrawn, StreamStarted, AttemptEnded, ProbeEnded, PeerNote,
-                           TimerDue, NewSettings, Belief, ListValidity>;
+                           TimerDue, NewSettings, Belief, ListValidity, ToldWait>;
 
 // ---- actions ----
 
--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -158,7 +158,7 @@
         discovery_.Known(taken ? start_.estate.table.revision : known.revision);
         if (taken) attempts_.TakeOver(std::move(*start_.channel), start_.estate.out);
         relay_.Recover(known, taken ? &start_.estate : nullptr);
-        endpoints_.TakeWaits(start_.estate.waits);
+        endpoints_.TakeWaits(start_.estate);
         std::optional<wheathub::ListLease::Inherited> lease;
         if (taken) lease = {start_.estate.list_valid_until};
         discovery_.Start(ListOptionsOf(config_), ~config_.seed, lease);
@@ -260,6 +260,7 @@
   relay::Estate Freeze() override {
     relay::Estate estate = relay_.Freeze();
     estate.waits = endpoints_.Waits();
+    estate.address_waits = endpoints_.AddressWaits();
     estate.list_valid_until = discovery_.list_valid_until();
     return estate;
   }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -463,9 +463,12 @@
     r.wait_until = std::max(r.wait_until, now_ + told_wait);
     WidenGap(e, sent_at);
     if (e.state == State::kDown) BackOff(e);
-    if (told_wait <= kGapMax) return;  // a longer one: shut, and cold when it opens
-    for (Endpoint* other : e.home->endpoints) {
-      if (other->route != e.route || other->state == State::kDown) continue;
+    if (told_wait > kGapMax) ShutUntilWaitEnds(r, *e.home);
+  }
+  // A long told wait: the route is shut, and cold when it opens.
+  void ShutUntilWaitEnds(const Route& r, const Destination& d) {
+    for (Endpoint* other : d.endpoints) {
+      if (other->route != &r || other->state == State::kDown) continue;
       other->eats = false;
       other->failed_at = r.wait_until;  // out until then
       GoDown(*other, "a long told wait");
@@ -932,6 +935,14 @@
     if (was_valid || !ListValid()) return;
     for (auto& [id, d] : destinations_) Touch(d);
   }
+  void On(const ToldWait& told) {
+    const auto it = endpoints_.find(told.endpoint);
+    if (it == endpoints_.end() || told.until <= it->second.route->wait_until) return;
+    Endpoint& e = it->second;
+    e.route->wait_until = told.until;
+    if (told.until - now_ > kGapMax) ShutUntilWaitEnds(*e.route, *e.home);
+    Touch(*e.home);
+  }
   void On(const Belief& b) {
     const auto it = endpoints_.find(b.endpoint);
     if (it == endpoints_.end()) return;
--- a/src/endpoint/hosts.cpp
+++ b/src/endpoint/hosts.cpp
@@ -44,6 +44,7 @@
   }
   host.known = net::ParseAddress(host.address).has_value();
   TakeAddress(id, host, close);
+  InheritWait(id, host, now);
   if (!ready) close->push_back(id);
 }
 
@@ -90,26 +91,80 @@
   return {host.destination, kind < apart_.size() && apart_[kind] ? id : std::string()};
 }
 
-void Hosts::ToldWait(const std::string& id, net::Time wait, net::Time now) {
-  const auto it = hosts_.find(id);
-  if (it == hosts_.end()) return;
+void Hosts::Bind(const std::string& id, const Host& host, net::Time until) {
+  net::Time& bound = waits_[RouteOf(id, host)];
+  bound = std::max(bound, until);
+}
+
+std::vector<std::string> Hosts::BindAddress(const net::Address& address, net::Time until) {
+  net::Time& bound = address_waits_[KeyOf(address)];
+  bound = std::max(bound, until);
+  std::vector<std::string> ids;
+  const auto there = at_address_.find(net::AddressText(address));
+  if (there == at_address_.end()) return ids;
+  for (const std::string& id : there->second) {
+    const Host& host = hosts_.at(id);
+    if (!host.known) continue;
+    Bind(id, host, until);
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+// The list may name a host long after it has taken over an address: a wait that it told meanwhile was told to
+// a call for the host before it, under whose id alone it would bind nobody who stands there.
+void Hosts::InheritWait(const std::string& id, const Host& host, net::Time now) {
+  if (!host.known) return;
+  const auto wait = address_waits_.find(KeyOf(host.to));
+  if (wait != address_waits_.end() && wait->second > now) Bind(id, host, wait->second);
+}
+
+std::vector<std::string> Hosts::ToldWait(const std::string& id, const net::Address& at, net::Time wait,
+                                         net::Time now) {
   std::erase_if(waits_, [now](const auto& w) { return w.second <= now; });
-  net::Time& until = waits_[RouteOf(it->first, it->second)];
-  until = std::max(until, now + wait);
+  std::erase_if(address_waits_, [now](const auto& w) { return w.second <= now; });
+  if (const Host* const host = Find(id)) Bind(id, *host, now + wait);
+  std::vector<std::string> ids = BindAddress(at, now + wait);
+  std::erase(ids, id);
+  return ids;
+}
+
+std::vector<std::string> Hosts::ToldWait(const std::string& id, net::Time wait, net::Time now) {
+  const Host* const host = Find(id);
+  return host == nullptr ? std::vector<std::string>() : ToldWait(id, host->to, wait, now);
+}
+
+net::Time Hosts::WaitUntil(const std::string& id) const {
+  const Host* const host = Find(id);
+  const auto wait = host == nullptr ? waits_.end() : waits_.find(RouteOf(id, *host));
+  return wait == waits_.end() ? net::Time(0) : wait->second;
 }
 
 void Hosts::TakeWait(const relay::HostWait& wait) {
-  const auto it = hosts_.find(wait.host);
-  if (it == hosts_.end()) return;
-  net::Time& until = waits_[RouteOf(it->first, it->second)];
-  until = std::max(until, wait.until);
+  if (const Host* const host = Find(wait.host)) Bind(wait.host, *host, wait.until);
+}
+
+void Hosts::TakeWait(const relay::AddressWait& wait) {
+  if (const auto address = net::ParseAddress(wait.address)) BindAddress(*address, wait.until);
 }
 
 std::vector<relay::HostWait> Hosts::Waits(net::Time now) const {
   std::vector<relay::HostWait> all;
   for (const auto& [id, host] : hosts_) {
-    const auto wait = waits_.find(RouteOf(id, host));
-    if (wait != waits_.end() && wait->second > now) all.push_back({id, now, wait->second});
+    const net::Time until = WaitUntil(id);
+    if (until > now) all.push_back({id, now, until});
+  }
+  return all;
+}
+
+std::vector<relay::AddressWait> Hosts::AddressWaits(net::Time now) const {
+  std::vector<relay::AddressWait> all;
+  for (const auto& [key, until] : address_waits_) {
+    if (until <= now) continue;
+    net::Address address{};
+    address.sin_addr.s_addr = key.first;
+    address.sin_port = key.second;
+    all.push_back({net::AddressText(address), until});
   }
   return all;
 }
@@ -119,8 +174,7 @@
 bool Hosts::MayWrite(const std::string& id, net::Time write_before, net::Time now) const {
   const Host* const host = Find(id);
   if (host == nullptr || !host->known || !host->ready) return false;
-  const auto wait = waits_.find(RouteOf(id, *host));
-  if (wait != waits_.end() && now < wait->second) return false;
+  if (now < WaitUntil(id)) return false;
   return now < write_before && now < list_valid_until_;
 }
 
--- a/src/endpoint/hosts.hpp
+++ b/src/endpoint/hosts.hpp
@@ -37,12 +37,20 @@
 
   // Null where no list so far named it, or it was forgotten. Good until the next Adopt or Forget.
   const Host* Find(const std::string& id) const;
-  // It told a wait at `now`, which binds its route; the longest one counts. Passed over for a host that isn't
-  // known.
-  void ToldWait(const std::string& id, net::Time wait, net::Time now);
+  // A call to that host was answered at `now`, at that address, with a wait. It binds the host's route and
+  // every other host that stands at the address, now or until the wait is over: which of them answered can't
+  // be told, as lists lag behind. The longest wait counts. Returns the ids of those other hosts.
+  std::vector<std::string> ToldWait(const std::string& id, const net::Address& at, net::Time wait,
+                                    net::Time now);
+  // The same where the host stands by now. Passed over for a host that isn't known.
+  std::vector<std::string> ToldWait(const std::string& id, net::Time wait, net::Time now);
+  // Until when nothing may be sent to it by what was told so far; 0 if no wait was told.
+  net::Time WaitUntil(const std::string& id) const;
   // As another process had it.
   void TakeWait(const relay::HostWait& wait);
+  void TakeWait(const relay::AddressWait& wait);
   std::vector<relay::HostWait> Waits(net::Time now) const;
+  std::vector<relay::AddressWait> AddressWaits(net::Time now) const;
   // The list may be used until that moment.
   void ListValidUntil(net::Time moment) { list_valid_until_ = moment; }
   // Whether a call may be written to it: never to one that has lost its address or drains, nor to one whose
@@ -57,8 +65,13 @@
 
  private:
   using Route = std::pair<wheathub::DestinationId, std::string>;  // a host's id where it is a route apart
+  using AddressKey = std::pair<in_addr_t, in_port_t>;
 
+  static AddressKey KeyOf(const net::Address& address) { return {address.sin_addr.s_addr, address.sin_port}; }
   Route RouteOf(const std::string& id, const Host& host) const;
+  void Bind(const std::string& id, const Host& host, net::Time until);
+  std::vector<std::string> BindAddress(const net::Address& address, net::Time until);
+  void InheritWait(const std::string& id, const Host& host, net::Time now);
   void Adopt(const relay::Host& news, net::Time now, std::vector<std::string>* close);
   void TakeAddress(const std::string& id, Host& host, std::vector<std::string>* close);
   void Gone(const std::string& id, Host& host, bool gone);
@@ -69,7 +82,9 @@
   std::set<std::string> gone_;
   std::vector<bool> apart_;  // by kind
   net::Time list_valid_until_ = net::Time::max();
-  std::map<Route, net::Time> waits_;  // until when; those over are dropped as new ones come
+  // Until when; those over are dropped as new ones come.
+  std::map<Route, net::Time> waits_;
+  std::map<AddressKey, net::Time> address_waits_;
 };
 
 }  // namespace oxbowspread::endpoint
--- a/src/endpoint/pool.cpp
+++ b/src/endpoint/pool.cpp
@@ -40,6 +40,22 @@
 
 void Pool::Adopt(const relay::RoutingChange& change) {
   for (const std::string& id : hosts_.Adopt(change, net::Loop::Now())) CloseIdle(id);
+  std::vector<std::string> named;
+  for (const relay::Host& host : change.hosts) named.push_back(host.info.id);
+  TellWaits(named);
+}
+
+// The module must keep to a wait that a host has by its address alone: a call held back here costs a repeat.
+void Pool::TellWaits(const std::vector<std::string>& hosts) {
+  const net::Time now = net::Loop::Now();
+  for (const std::string& id : hosts) {
+    const net::Time until = hosts_.WaitUntil(id);
+    if (until > now) relay_->HostToldWait(id, until);
+  }
+}
+
+void Pool::ToldWait(const std::string& host, net::Time wait) {
+  TellWaits(hosts_.ToldWait(host, wait, net::Loop::Now()));
 }
 
 void Pool::CloseIdle(const std::string& id) {
@@ -54,8 +70,11 @@
 
 std::vector<relay::HostWait> Pool::Waits() const { return hosts_.Waits(net::Loop::Now()); }
 
-void Pool::TakeWaits(const std::vector<relay::HostWait>& waits) {
-  for (const relay::HostWait& wait : waits) hosts_.TakeWait(wait);
+std::vector<relay::AddressWait> Pool::AddressWaits() const { return hosts_.AddressWaits(net::Loop::Now()); }
+
+void Pool::TakeWaits(const relay::Estate& estate) {
+  for (const relay::HostWait& wait : estate.waits) hosts_.TakeWait(wait);
+  for (const relay::AddressWait& wait : estate.address_waits) hosts_.TakeWait(wait);
 }
 
 void Pool::ReadNow() {
@@ -155,7 +174,9 @@
   const auto it = out_.find(attempt);
   if (it == out_.end() || it->second != &line) return;
   out_.erase(it);
-  if (end.told_wait > 0s) hosts_.ToldWait(line.host(), end.told_wait, net::Loop::Now());
+  if (end.told_wait > 0s) {
+    TellWaits(hosts_.ToldWait(line.host(), line.address(), end.told_wait, net::Loop::Now()));
+  }
   if (end.outcome == Outcome::kNoConnection) counters_.line_failures += 1;
   relay_->AttemptEnded(attempt, end);
 }
--- a/src/endpoint/pool.hpp
+++ b/src/endpoint/pool.hpp
@@ -33,8 +33,10 @@
 
   // What hosts told this process, for the next one, and what they told the last one.
   std::vector<relay::HostWait> Waits() const;
-  void TakeWaits(const std::vector<relay::HostWait>& waits);
-  void ToldWait(const std::string& host, net::Time wait) { hosts_.ToldWait(host, wait, net::Loop::Now()); }
+  void TakeWaits(const relay::Estate& estate);
+  std::vector<relay::AddressWait> AddressWaits() const;
+  // Another process's call to that host was answered with a wait.
+  void ToldWait(const std::string& host, net::Time wait);
   // Takes at once what has come of answers to calls that are out.
   void ReadNow();
   // No line rests here any more; those with calls go on.
@@ -55,6 +57,7 @@
   void OnLost(Line& line) override;
   void OnSpoilt() override { counters_.answers_spoilt += 1; }
 
+  void TellWaits(const std::vector<std::string>& hosts);
   Line* FreeLine(const Lines& lines) const;
   Line* NewLine(const std::string& id, const Host& host);
   bool CloseLongestIdle();
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -161,16 +161,19 @@
 }
 
 std::vector<EstatePiece> Pieces(const relay::Estate& estate) {
-  Json hosts = Json::array(), beliefs = Json::array(), out = Json::array(), waits = Json::array();
+  Json hosts = Json::array(), beliefs = Json::array(), out = Json::array(), waits = Json::array(),
+       address_waits = Json::array();
   for (const auto& h : estate.table.hosts) hosts.push_back(Of(h));
   for (const auto& b : estate.beliefs) beliefs.push_back(Of(b));
   for (const auto& l : estate.out) out.push_back({l.id, l.host, l.begun.count()});
   for (const auto& w : estate.waits) waits.push_back({w.host, w.told_at.count(), w.until.count()});
+  for (const auto& w : estate.address_waits) address_waits.push_back({w.address, w.until.count()});
   const std::string all = Cbor({{"revision", estate.table.revision},
                                 {"hosts", std::move(hosts)},
                                 {"beliefs", std::move(beliefs)},
                                 {"out", std::move(out)},
                                 {"waits", std::move(waits)},
+                                {"address_waits", std::move(address_waits)},
                                 {"list_valid_until", estate.list_valid_until.count()}});
   std::vector<EstatePiece> pieces;
   for (std::size_t at = 0; at < all.size(); at += kPiece) pieces.push_back({all.substr(at, kPiece)});
@@ -188,6 +191,9 @@
     for (const Json& b : j.at("beliefs")) estate.beliefs.push_back(BeliefOf(b));
     for (const Json& l : j.at("out")) estate.out.push_back({l.at(0), l.at(1), TimeOf(l.at(2))});
     for (const Json& w : j.at("waits")) estate.waits.push_back({w.at(0), TimeOf(w.at(1)), TimeOf(w.at(2))});
+    for (const Json& w : j.value("address_waits", Json::array())) {
+      estate.address_waits.push_back({w.at(0), TimeOf(w.at(1))});
+    }
     return estate;
   } catch (const Json::exception& e) {
     throw std::invalid_argument(e.what());
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -280,7 +280,9 @@
     head.headers["retry-after"] = text;
   }
   const relay::AttemptEnd end = endpoint::MeaningOf(head);
-  if (end.told_wait > 0us) hosts_.ToldWait(call.host, end.told_wait, Now());
+  if (end.told_wait > 0us) {
+    TellWaits(hosts_.ToldWait(call.host, *net::ParseAddress(call.address), end.told_wait, Now()));
+  }
   GiveLine(call.host, call.address);
   relay_->AttemptEnded(call.attempt, end);
 }
@@ -322,6 +324,16 @@
 
 void Node::Adopt(const relay::RoutingChange& change) {
   for (const std::string& id : hosts_.Adopt(change, Now())) CloseIdle(id);
+  std::vector<std::string> named;
+  for (const relay::Host& host : change.hosts) named.push_back(host.info.id);
+  TellWaits(named);
+}
+
+void Node::TellWaits(const std::vector<std::string>& hosts) {
+  for (const std::string& id : hosts) {
+    const Time until = hosts_.WaitUntil(id);
+    if (until > Now()) relay_->HostToldWait(id, until);
+  }
 }
 
 void Node::Adopt(const model::TellList& list) {
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -72,6 +72,7 @@
 
  private:
   struct Hand;
+  void TellWaits(const std::vector<std::string>& hosts);
   struct Call {
     relay::AttemptId attempt;
     std::string host, address;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -47,6 +47,12 @@
   return address;
 }
 
+std::string AddressText(const Address& address) {
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
 Connection::Connection(Loop& loop, int fd, User& user, std::size_t limit)
     : loop_(loop), user_(user), fd_(fd), in_(limit), out_(limit), io_(loop.ref()) {
   NoDelay(fd);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -19,6 +19,8 @@
 using Address = sockaddr_in;
 // "127.0.0.1:80"; nothing if it isn't one.
 std::optional<Address> ParseAddress(std::string_view text);
+// The reverse of ParseAddress.
+std::string AddressText(const Address& address);
 
 class Connection {
  public:
--- a/src/relay/estate.hpp
+++ b/src/relay/estate.hpp
@@ -22,12 +22,19 @@
   Time told_at{0}, until{0};
 };
 
+// A wait told at an address, whichever host stands there.
+struct AddressWait {
+  std::string address;
+  Time until{0};
+};
+
 struct Estate {
   RoutingChange table;  // as discovery listed it, with its revision
   std::vector<wheathub::Belief> beliefs;
   std::vector<AttemptOut> out;
   std::vector<HostWait> waits;
-  Time list_valid_until{0};  // 0: the process that gives over can't tell
+  std::vector<AddressWait> address_waits;  // none from an older process
+  Time list_valid_until{0};                // 0: the process that gives over can't tell
 };
 
 }  // namespace oxbowspread::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -485,8 +485,8 @@
   Tell(table_.Adopt(change));
 }
 
+// The module hears of the hosts first: adopting them may tell what binds them.
 void Relay::Tell(const RoutingChange& change) {
-  sides_.endpoints.Adopt(change);
   wheathub::ListUpdate update;
   update.scope = change.scope;
   update.revision = change.revision;
@@ -495,8 +495,11 @@
     named_.insert(host.info.destination);
   }
   Queue(std::move(update));
+  sides_.endpoints.Adopt(change);
 }
 
+void Relay::HostToldWait(const std::string& host, Time until) { Queue(wheathub::ToldWait{host, until}); }
+
 void Relay::ListValidUntil(Time moment) {
   sides_.endpoints.ListValidUntil(moment);
   Queue(wheathub::ListValidity{moment});
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -63,6 +63,10 @@
   bool AttemptWriting(const AttemptId& attempt, const std::string& host, int zone);
   void AttemptEnded(const AttemptId& attempt, const AttemptEnd& end);
 
+  // Nothing may be sent to that host before that moment, by a wait that a call to another host was told at
+  // its address.
+  void HostToldWait(const std::string& host, Time until);
+
   // The attempt of that message that is out; number -1 if none is.
   AttemptId AttemptOf(const std::string& id) const;
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1191,6 +1191,22 @@
   EXPECT_GE(rig.sent_at["m1"], told + 1500ms);
 }
 
+// The message is kept for when the wait is over: a call that is held back elsewhere would cost its repeat.
+TEST(Wait, ToldByWhoeverStandsAtAnAddressBindsTheEndpointThere) {
+  for (const Time wait : {Time(1500ms), Time(5s)}) {
+    Rig rig;
+    rig.Do({ListUpdate{ListScope::kRemembered, 1, {At("old", 7, 1)}}});
+    rig.Do({ListUpdate{ListScope::kAll, 2, {At("new", 7, 1)}}, ToldWait{"new", rig.now + wait},
+            ToldWait{"none", rig.now + wait}, rig.New("m1", 0)});
+    const Time told = rig.now;
+    rig.Pass(wait - 20ms);
+    EXPECT_EQ(rig.Sends("m1"), 0);
+    rig.Pass(10s);
+    ASSERT_EQ(rig.Sends("m1"), 1);
+    EXPECT_GE(rig.sent_at["m1"], told + wait);
+  }
+}
+
 // ---- bundles, tenants, room ----
 
 TEST(Bundle, MessagesOfOneStepShareACall) {
--- a/tests/lab/hosts_test.cpp
+++ b/tests/lab/hosts_test.cpp
@@ -133,6 +133,38 @@
   CHECK_FALSE(hosts.Find("odd")->known);
 }
 
+// A list lags: the host that answers at an address may not be the one that the call was meant for.
+TEST_CASE("hosts: a wait told at an address binds whoever stands there while it runs", "[hosts]") {
+  Hosts hosts;
+  hosts.SetKinds({true});
+  const auto at_one = *net::ParseAddress("127.0.0.1:1");
+  hosts.Adopt(Change({Named("old", "127.0.0.1:1"), Named("other", "127.0.0.1:2")}), 1s);
+  CHECK(hosts.ToldWait("old", at_one, 3s, 10s).empty());
+  hosts.Adopt(Change({Named("old", "127.0.0.1:1", Lifecycle::kRemoved), Named("new", "127.0.0.1:1")}), 11s);
+  CHECK(hosts.WaitUntil("new") == 13s);
+  CHECK_FALSE(May(hosts, "new", 13s - 1us));
+  CHECK(May(hosts, "new", 13s));
+  CHECK(May(hosts, "other", 11s));
+  // The answer to a call for the old one comes after the new one is known.
+  CHECK(hosts.ToldWait("old", at_one, 3s, 20s) == Ids{"new"});
+  CHECK_FALSE(May(hosts, "new", 23s - 1us));
+  // Whoever comes after the wait is free, and so is one that moves away from there.
+  hosts.Adopt(Change({Named("third", "127.0.0.1:1")}), 23s);
+  CHECK(May(hosts, "third", 23s));
+  // Another process keeps to it, also for a host that it has not heard of yet.
+  hosts.ToldWait("third", at_one, 3s, 30s);
+  const auto waits = hosts.AddressWaits(31s);
+  REQUIRE(waits.size() == 1);
+  CHECK(waits.front().address == "127.0.0.1:1");
+  Hosts next;
+  next.SetKinds({true});
+  for (const relay::AddressWait& wait : waits) next.TakeWait(wait);
+  next.Adopt(Change({Named("fourth", "127.0.0.1:1")}), 31s);
+  CHECK_FALSE(May(next, "fourth", 33s - 1us));
+  CHECK(May(next, "fourth", 33s));
+  CHECK(hosts.AddressWaits(33s).empty());
+}
+
 TEST_CASE("hosts: who is not in a whole list is gone, and forgotten after a while", "[hosts]") {
   Hosts hosts;
   hosts.Adopt(Change({Named("a", "127.0.0.1:1"), Named("b", "127.0.0.1:2")}, ListScope::kAll), 1s);
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -84,6 +84,7 @@
   estate.beliefs = {belief};
   estate.out = {{"m1", "a", 77s}};
   estate.waits = {{"a", 1s, 2s}};
+  estate.address_waits = {{"127.0.0.1:7", 3s}};
   estate.list_valid_until = 99s;
   std::string all;
   for (const EstatePiece& piece : Pieces(estate)) all += piece.bytes;
@@ -95,6 +96,9 @@
   CHECK(read.beliefs.at(0).health.failed_at == wheathub::EndpointBelief::kNever);
   CHECK(read.out.at(0).begun == 77s);
   CHECK(read.waits.at(0).until == 2s);
+  REQUIRE(read.address_waits.size() == 1);
+  CHECK(read.address_waits.front().address == "127.0.0.1:7");
+  CHECK(read.address_waits.front().until == 3s);
   CHECK(read.list_valid_until == 99s);
   for (std::size_t cut = 0; cut < all.size(); ++cut) {
     CHECK_THROWS_AS(FromPieces(all.substr(0, cut)), std::invalid_argument);
--- a/tests/relay/list_lease_test.cpp
+++ b/tests/relay/list_lease_test.cpp
@@ -114,7 +114,11 @@
   CHECK(f.world.NextCall().id() == "id-a");
 }
 
-// Found by the soak test. The relay does not know yet that another host has taken over the address.
+// Found by the soak test, seed 1, once in 12 plays: relay told to wait with a host, and called it 0.3 s
+// later. A list lags by up to a second, so the host that answered the call had taken over the address of the
+// one for which the call was meant. The wait was kept under the id of the latter, which the next list took
+// away, and the first list that named the new host set it free. Counters showed one refused call and, with
+// the new list, the next one at the same address within the wait.
 TEST_CASE("a wait told at an address binds the host that has taken it over") {
   World world;
   world.AddHost("old", 7);
