Renew the lease on the list from when a heartbeat can have come, not from its reading

A relay that stood still for 2.5 s called an endpoint 6 s after discovery had its drain. Cause: a heartbeat that had lain unread renewed the lease from the moment of its reading, and so vouched for changes made behind it; the lease's proof allows 200 ms between writing and reading.

--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -393,7 +393,8 @@
 }
 
 void Node::TellLease(const wheathub::ListLease::Event& event) {
-  relay_->ListValidUntil(lease_.Step(Now(), event));
+  // As routing::Discovery reckons it: what was missed counts from when it may have come.
+  relay_->ListValidUntil(lease_.Step(unread_since_ < 0us ? Now() : unread_since_, event));
 }
 
 wheathub::ListSubscription::CallNumber Node::NumberOf(std::uint64_t call) const {
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -52,7 +52,7 @@
 void Discovery::MoveTo(Place place) {
   place_ = std::move(place);
   LeaveOldPlace();
-  TellLease(wheathub::ListLease::Moved{});
+  TellLease(wheathub::ListLease::Moved{}, std::max(loop_.earliest_arrival(), started_));
   Tell(Subscription::Moved{});
 }
 
@@ -102,11 +102,17 @@
   alarm_.At(next);
 }
 
-void Discovery::TellLease(const wheathub::ListLease::Event& event) {
+// What a call brings may have lain unread while this process stood still: it tells of no later moment than
+// that in which it came, or a heartbeat would vouch for all that discovery has changed since.
+net::Time Discovery::HeardOn(const Call& call) const {
+  return std::max(loop_.earliest_arrival(), call.started());
+}
+
+void Discovery::TellLease(const wheathub::ListLease::Event& event, net::Time at) {
   if (subscription_ == nullptr) return;
   const net::Time now = net::Loop::Now();
   const net::Time before = lease_.valid_until();
-  const net::Time until = lease_.Step(now, event);
+  const net::Time until = lease_.Step(at, event);
   if (before <= now && until > now) {
     std::cout << "list: valid again after " << (now - before) / 1ms << " ms" << std::endl;
   }
@@ -116,12 +122,12 @@
 
 void Discovery::TellLeaseOfEnd(const Call& call, CallEnd end) {
   using Lease = wheathub::ListLease;
-  if (end == CallEnd::kNotConnected) return TellLease(Lease::Unreachable{});
+  if (end == CallEnd::kNotConnected) return TellLease(Lease::Unreachable{}, HeardOn(call));
   if (call.subscribed()) {
     const bool ended = end == CallEnd::kEnded && !call.in_message();
     return TellLease(ended ? Lease::Event(Lease::SubscriptionEnded{}) : Lease::SubscriptionBroken{});
   }
-  const Lease::Event refused = Lease::Refused(call.started(), net::Loop::Now());
+  const Lease::Event refused = Lease::Refused(call.started(), HeardOn(call));
   const bool late = std::holds_alternative<Lease::RefusedLate>(refused);
   // A connection that is closed at once may have broken by itself.
   if (end == CallEnd::kRefused || (end == CallEnd::kClosed && late)) TellLease(refused);
@@ -132,16 +138,19 @@
   std::cout << "list: not confirmed for too long, no call begins" << std::endl;
 }
 
-bool Discovery::ConnectsInVain() const {
-  return std::any_of(calls_.begin(), calls_.end(), [](const std::unique_ptr<Call>& call) {
+const Discovery::Call* Discovery::ConnectsInVain() const {
+  const auto it = std::find_if(calls_.begin(), calls_.end(), [](const std::unique_ptr<Call>& call) {
     return !call->connected() && call->age() >= kConnectsWithin;
   });
+  return it == calls_.end() ? nullptr : it->get();
 }
 
 void Discovery::Open(const Subscription::Call& call) {
   // Another call while one stands: it is silent.
   if (subscription_->subscription() != 0) TellLease(wheathub::ListLease::SubscriptionBroken{});
-  if (ConnectsInVain()) TellLease(wheathub::ListLease::Unreachable{});
+  if (const Call* const vain = ConnectsInVain()) {
+    TellLease(wheathub::ListLease::Unreachable{}, HeardOn(*vain));
+  }
   if (call.gives_up) {
     counters_.list_failures += 1;
     Drop(*call.gives_up, CallEnd::kGivenUp);
@@ -195,7 +204,8 @@
 void Discovery::Heard(Number number) {
   heard_at_ = net::Loop::Now();
   if (subscription_ == nullptr) return;
-  TellLease(wheathub::ListLease::Confirmed{});
+  const Call* const heard = Find(number);
+  TellLease(wheathub::ListLease::Confirmed{}, heard == nullptr ? net::Loop::Now() : HeardOn(*heard));
   const Number before = subscription_->subscription();
   Tell(Subscription::Heard{number});
   if (before == number || subscription_->subscription() != number) return;
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -107,10 +107,12 @@
   void Tell(const Subscription::Event& event);
   // What the end of that call says of discovery.
   void TellLeaseOfEnd(const Call& call, CallEnd end);
-  void TellLease(const wheathub::ListLease::Event& event);
+  void TellLease(const wheathub::ListLease::Event& event) { TellLease(event, net::Loop::Now()); }
+  void TellLease(const wheathub::ListLease::Event& event, net::Time at);
+  net::Time HeardOn(const Call& call) const;
   void LeaseOver();
   // Whether a call has waited so long for its connection that discovery can't be reached.
-  bool ConnectsInVain() const;
+  const Call* ConnectsInVain() const;  // null: none does
   void Open(const Subscription::Call& call);
   Call* Find(Number number) const;
   void LeaveOldPlace();
@@ -135,7 +137,8 @@
   std::vector<std::unique_ptr<Call>> calls_;
   std::vector<std::unique_ptr<Call>> leaving_;  // to where discovery was before
   std::int64_t revision_ = 0;
-  net::Time heard_at_ = net::Loop::Now();
+  net::Time started_ = net::Loop::Now();
+  net::Time heard_at_ = started_;
   std::string last_unreadable_;  // named in the log last
   net::Timer alarm_;
   net::Timer lease_over_;
--- a/tests/relay/list_lease_test.cpp
+++ b/tests/relay/list_lease_test.cpp
@@ -141,6 +141,28 @@
   CHECK_FALSE(world.CallWithin(1500ms));
 }
 
+// Found by asking where else what is read late is taken for fresh. A heartbeat that lay unread while the
+// relay stood said nothing of the time since. It renewed the lease from when it was read: with the change
+// made right behind it, which counts as known 6 s later, and a relay that stood for 2.5 s, calls went on for
+// 1 s more.
+TEST_CASE("a heartbeat that lay unread while its relay stood does not make the list fresh") {
+  Fleet f(1);
+  f.Start();
+  f.UntilEachHas("list_changes", 2);
+  std::deque<Client> clients = ClientsOf(f);
+  RelayProcess& relay = f.relays.front();
+  relay.Halt();
+  f.world.TellText("\n");
+  f.world.heartbeats = false;
+  f.world.silent = true;
+  f.world.SetStateUntold("b", "Terminating");
+  const auto changed = Clock::now();
+  f.Pass(2500ms);
+  relay.GoOn();
+  KeepAsking(f, clients, changed + kKnownWithin);
+  CHECK(CallsToDraining(clients) == 0);
+}
+
 TEST_CASE("a new process that discovery refuses calls no host 6 s after its start") {
   Fleet f(4);
   f.world.refusing = true;
