Pace calls to a returned endpoint until it is surely warm, not until it may be

Fleets of 1 to 30 sent an endpoint that had been silent up to 2.1 times what the budget of slow start allows, 10 to 12 s after its return. Cause: a sender that finds an endpoint back reckons it back half way since the last failure, and so warm before it was; at that moment everything held went at once.

The field is passed on by a handover, and made up where an older process does not tell it.

--- a/include/wheathub/beliefs.hpp
+++ b/include/wheathub/beliefs.hpp
@@ -36,6 +36,7 @@
   bool eats = false;         // the trouble may have run what it took: no place for an unsafe message
   bool second_look = false;  // down by a lone failed connect
   Time cold_since{0}, failed_at = kNever;
+  Time warm_by{0};  // it is warm then, however late it was found
 };
 
 struct Belief {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -404,8 +404,11 @@
     // What is served before the end of a long told wait was sent before that was told: no return.
     if (e.state == State::kDown && now_ >= e.failed_at) {
       e.state = State::kCold;
-      // Found late by one of many: it came back at any time since the last failure here.
+      // Found late by one of many: it came back at any time since the last failure here. It is paced by what
+      // it bears if it came back half way between, but until the latest moment at which it can be cold: paced
+      // no more at the earlier one, all that is held would go at once to one that is not warm yet.
       e.cold_since = now_ - Micros(kFoundLate * Seconds(now_ - std::max(e.failed_at, now_ - s_.cold)));
+      e.warm_by = now_ + s_.cold;
       e.route->cold_until = e.cold_since + s_.cold;
       e.route->next_in_trouble = now_ + ColdInterval(e, ColdShare(e)) / 2;  // the trial was a call
       actions_.push_back(Log{"returning " + e.info.id});
@@ -522,7 +525,7 @@
   // Between calls of this sender to a cold endpoint; what that gains until the next is due counts.
   Time ColdInterval(const Endpoint& e, double share) {
     const double calls = Uniform(0.5, 1.5) / OutagePart(e);
-    const double gain = s_.cold > 0us ? (1 - s_.cold_from) / Seconds(s_.cold) : 0;
+    const double gain = s_.cold > 0us && share < 1 ? (1 - s_.cold_from) / Seconds(s_.cold) : 0;
     return Micros(gain <= 0 ? calls / share : (std::sqrt(share * share + 2 * gain * calls) - share) / gain);
   }
   double ColdShare(const Endpoint& e) const {
@@ -680,7 +683,7 @@
   // Sends the first message of a destination that can go, or sets the alarm for when one can.
   void ServeOne(Destination& d) {
     for (Endpoint* e : d.endpoints) {
-      if (e->state == State::kCold && now_ - e->cold_since >= s_.cold) e->state = State::kUp;
+      if (e->state == State::kCold && now_ >= e->warm_by) e->state = State::kUp;
       SendProbe(*e);
     }
     for (Pending* p : Heads(d)) {
@@ -708,7 +711,7 @@
     const Time paused = e.home->refused_at + Micros(Seconds(e.home->pause) / held);
     const Time free = std::max(r.FreeAt(now_, pace_, held), paused);
     if (e.state == State::kUp) return free;
-    return std::max(free, std::min(r.next_in_trouble, e.cold_since + s_.cold));
+    return std::max(free, std::min(r.next_in_trouble, e.warm_by));
   }
   void MarkStuck(Call& call) {
     const auto it = messages_.find(call.key.first);
@@ -789,6 +792,7 @@
     // once. So is one that drained and takes calls again. Harm: a sound one is fed slowly.
     if (back || (is_new && (d.waiting > 0 || now_ < e.route->cold_until))) e.state = State::kCold;
     if (is_new || back) e.cold_since = now_;
+    if (is_new || back) e.warm_by = now_ + s_.cold;
     Touch(d);
   }
   // Weighted rendezvous: each endpoint is first for its part of the senders; one more moves its part only.
@@ -948,6 +952,7 @@
     const auto it = endpoints_.find(b.endpoint);
     if (it == endpoints_.end()) return;
     static_cast<EndpointBelief&>(it->second) = b.health;
+    if (b.health.warm_by == 0us) it->second.warm_by = b.health.cold_since + s_.cold;  // not told
     static_cast<RouteBelief&>(*it->second.route) = b.route;
     Touch(*it->second.home);
   }
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -58,7 +58,8 @@
           h.eats,
           h.second_look,
           h.cold_since.count(),
-          h.failed_at.count()};
+          h.failed_at.count(),
+          h.warm_by.count()};
 }
 wheathub::Belief BeliefOf(const Json& j) {
   wheathub::Belief b;
@@ -81,6 +82,7 @@
   h.eats = next();
   h.second_look = next();
   for (Time* t : {&h.cold_since, &h.failed_at}) *t = TimeOf(next());
+  if (at < j.size()) h.warm_by = TimeOf(next());  // an older process lacks it
   return b;
 }
 
