Keep an attempt out until the old process says that it is cut

After a handover a message could be called a second time, or its slot be used, while the first attempt was out on an open connection: the new process asked the old one to cut it, and took 150 ms of silence for the old one's death. A process that stands still (SIGSTOP, no processor) is silent as well, and its connections stay open; the standing test allows a hold-up of 0.15 s.

EndpointSide::Cut now says whether the attempt has ended. One that goes on elsewhere is out until that process says so or its channel ends. It holds because both follow from the connection's end, and the module waits for the end of what it calls off. The loop no longer stands for it either.

The test, with the old process stopped, sees a call within 5 s without the mend and none with it.

--- a/src/endpoint/pool.cpp
+++ b/src/endpoint/pool.cpp
@@ -189,16 +189,17 @@
 
 void Pool::OnLost(Line& line) { Remove(line); }
 
-void Pool::Cut(const relay::AttemptId& attempt) {
+bool Pool::Cut(const relay::AttemptId& attempt) {
   std::erase_if(failed_, [&](const auto& f) { return f.first == attempt; });
   const auto it = out_.find(attempt);
-  if (it == out_.end()) return;
+  if (it == out_.end()) return true;
   Line& line = *it->second;
   line.ReadNow();
   const auto still = out_.find(attempt);
-  if (still == out_.end()) return;
+  if (still == out_.end()) return true;
   out_.erase(still);
   Remove(line);
+  return true;
 }
 
 void Pool::Unlist(Line& line) {
--- a/src/endpoint/pool.hpp
+++ b/src/endpoint/pool.hpp
@@ -44,7 +44,7 @@
 
   void Adopt(const relay::RoutingChange& change) override;
   void Begin(relay::AttemptOrder order) override;
-  void Cut(const relay::AttemptId& attempt) override;
+  bool Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
   void ListValidUntil(net::Time moment) override { hosts_.ListValidUntil(moment); }
 
--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -69,13 +69,7 @@
 }
 
 Attempts::Attempts(net::Loop& loop, relay::EndpointSide& own, ToldWait told_wait, Operated operate)
-    : own_(own),
-      told_wait_(std::move(told_wait)),
-      operate_(std::move(operate)),
-      io_(loop.ref()),
-      next_(loop, [this] {
-        for (const Packet& packet : std::exchange(kept_, {})) Feed(packet);
-      }) {
+    : own_(own), told_wait_(std::move(told_wait)), operate_(std::move(operate)), io_(loop.ref()) {
   io_.set<Attempts, &Attempts::OnIo>(this);
 }
 
@@ -96,6 +90,9 @@
 
 void Attempts::Feed(const Packet& packet) {
   if (const auto* ended = std::get_if<AttemptEnded>(&packet)) return End(ended->id, ended->end);
+  if (const auto* cut = std::get_if<IsCut>(&packet)) {
+    return End(cut->id, {wheathub::Outcome::kCancelled, false, relay::Time(0)});
+  }
   if (const auto* call = std::get_if<Operate>(&packet)) {
     if (channel_) channel_->Send(handover::Operated{operate_(call->word, call->argument)});
   }
@@ -119,22 +116,13 @@
   }
 }
 
-// Its next attempt may begin as soon as this returns, and no two may be out at once: the old process's word
-// that it is cut is waited for. If none comes, that process is as good as dead, and so are its connections.
-void Attempts::Cut(const relay::AttemptId& attempt) {
-  const auto it = elsewhere_.find(attempt.id);
-  if (it == elsewhere_.end()) return own_.Cut(attempt);
-  elsewhere_.erase(it);
-  if (!channel_ || !channel_->Send(handover::Cut{attempt.id})) return;
-  const net::Time until = net::Loop::Now() + kCutWithin;
-  while (!channel_->ended() && net::Loop::Now() < until) {
-    auto received = channel_->Receive(Limit(10));
-    if (!received) continue;
-    const auto* cut = std::get_if<IsCut>(&received->packet);
-    if (cut != nullptr && cut->id == attempt.id) return;
-    kept_.push_back(std::move(received->packet));
-    next_.After(net::Time(0));
-  }
+// Only the old process's word, or its end, says that the connection is closed. However long that takes (it
+// may stand still, and its connections stay open meanwhile), the attempt is out: its message's next one must
+// not begin, nor another take its slot.
+bool Attempts::Cut(const relay::AttemptId& attempt) {
+  if (elsewhere_.count(attempt.id) == 0) return own_.Cut(attempt);
+  if (channel_) channel_->Send(handover::Cut{attempt.id});
+  return false;
 }
 
 }  // namespace oxbowspread::handover
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -57,13 +57,11 @@
 
   void Adopt(const relay::RoutingChange& change) override { own_.Adopt(change); }
   void Begin(relay::AttemptOrder order) override { own_.Begin(std::move(order)); }
-  void Cut(const relay::AttemptId& attempt) override;
+  bool Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override { own_.CloseIdle(host); }
   void ListValidUntil(relay::Time moment) override { own_.ListValidUntil(moment); }
 
  private:
-  static constexpr Limit kCutWithin{150};
-
   void OnIo(ev::io&, int);
   void Feed(const Packet& packet);
   void End(const std::string& id, const relay::AttemptEnd& end);
@@ -75,9 +73,7 @@
   relay::Relay* relay_ = nullptr;
   std::optional<Channel> channel_;
   std::map<std::string, std::string> elsewhere_;  // ids of messages, and the host of each attempt
-  std::vector<Packet> kept_;                      // came while another was waited for
   ev::io io_;
-  net::Timer next_;
 };
 
 }  // namespace oxbowspread::handover
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -266,14 +266,15 @@
   relay_->AttemptEnded(attempt, {Outcome::kTimedOut, false, Time(0)});
 }
 
-void Node::Cut(const relay::AttemptId& attempt) {
+bool Node::Cut(const relay::AttemptId& attempt) {
   const auto it = by_attempt_.find(attempt);
-  if (it == by_attempt_.end()) return;
+  if (it == by_attempt_.end()) return true;
   const std::uint64_t number = it->second;
   CloseLine(calls_.at(number).address);
   calls_.erase(number);
   by_attempt_.erase(it);
   around_.Tell(model::Dropped{number});
+  return true;
 }
 
 void Node::Answer(const model::AnswerCall& answer) {
--- a/src/lab/node.hpp
+++ b/src/lab/node.hpp
@@ -88,7 +88,7 @@
   void WakeAt(Time moment) override;
   void Adopt(const relay::RoutingChange& change) override;
   void Begin(relay::AttemptOrder order) override;
-  void Cut(const relay::AttemptId& attempt) override;
+  bool Cut(const relay::AttemptId& attempt) override;
   void CloseIdle(const std::string& host) override;
   void ListValidUntil(Time moment) override { hosts_.ListValidUntil(moment); }
   void StepList(const wheathub::ListSubscription::Event& event);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -439,7 +439,8 @@
   const auto it = out_.find(attempt);
   if (it == out_.end()) return;  // its end is on the way to the module
   const bool written = it->second.written;
-  sides_.endpoints.Cut(attempt);  // what has come of it by now is taken first, and may have ended it
+  if (!sides_.endpoints.Cut(attempt)) return;
+  // What had come of it by then was taken first, and may have ended it.
   AttemptEnded(attempt, {written ? Outcome::kCancelled : Outcome::kNotSent, false, Time(0)});
 }
 
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -243,6 +243,36 @@
   CHECK(r.old.WaitForEnd() == 0);
 }
 
+// Found by asking of every way in which an attempt ends whether its connection has ended by then. The new
+// process wants the slot of an overdue attempt, and tells the old one to cut it; that one stands still
+// (SIGSTOP). The new one waited 150 ms for its word and then took it for dead: it repeated the message, 3 s
+// after the handover, while the first attempt was out on an open connection. The standing test allows a
+// hold-up of 0.15 s.
+TEST_CASE("an attempt that the old process can't cut, as it stands, is not repeated until it is cut") {
+  Upgrade r;
+  r.world.AddHost("b", 8);
+  for (RelayProcess* p : {&r.old, &r.next}) p->config["settings"]["family-info"]["calls-out"] = 1;
+  r.old.Start();
+  Client client(r.old);
+  client.Put("out", "hello", 20000);
+  REQUIRE(client.Line() == "+OK");
+  REQUIRE(r.world.NextCall().id() == "out");
+  r.Over();
+  r.old.Halt();
+  client.Put("other", "hello", 20000, ",k=key2,dest=8");
+  REQUIRE(client.Line() == "+OK");
+  CHECK_FALSE(r.world.CallWithin(5s));  // the one slot is that of the attempt that is out
+  r.old.GoOn();
+  std::set<std::string> called;
+  while (called.size() < 2) {
+    const HttpRequest call = r.world.NextCall();
+    called.insert(call.id());
+    r.world.Answer(call, "200 OK");
+  }
+  CHECK(called == std::set<std::string>{"other", "out"});
+  CHECK(r.old.WaitForEnd() == 0);
+}
+
 TEST_CASE("the old process killed with an attempt out: it may have run, and goes on by the rules") {
   Upgrade r;
   r.old.Start();
