End a message by its time though its attempt is out in an old process that stands

After a handover, a message whose attempt went on in the old process got no end by its time where that process stood still: lost, by the rule. Cause: only the old process held the attempt's clock.

What is given over names each message's time now, and the new process ends the attempt 30 ms after it, which leaves the old one's word, if it comes, to say more. It holds because the message is over then: nothing is tried for it any more, whatever the old process does. An older process names no time.

--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -2,16 +2,19 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace oxbowspread::handover {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr Limit kEachWithin = 1s;  // the old process's next packet
-constexpr auto kLookEach = 20ms;   // whether the folder is free by now
+constexpr Limit kEachWithin = 1s;             // the old process's next packet
+constexpr auto kLookEach = 20ms;              // whether the folder is free by now
+constexpr net::Time kOldProcessFirst = 30ms;  // past a message's time: the old process's word tells more
 
 void CloseAll(const Taker& taker) {
   for (const client::Passed& client : taker.clients()) close(client.fd);
@@ -69,14 +72,19 @@
 }
 
 Attempts::Attempts(net::Loop& loop, relay::EndpointSide& own, ToldWait told_wait, Operated operate)
-    : own_(own), told_wait_(std::move(told_wait)), operate_(std::move(operate)), io_(loop.ref()) {
+    : own_(own),
+      told_wait_(std::move(told_wait)),
+      operate_(std::move(operate)),
+      io_(loop.ref()),
+      overdue_(loop, [this] { EndOverdue(); }) {
   io_.set<Attempts, &Attempts::OnIo>(this);
 }
 
 void Attempts::TakeOver(Channel channel, const std::vector<relay::AttemptOut>& out) {
   channel_.emplace(std::move(channel));
-  for (const relay::AttemptOut& attempt : out) elsewhere_[attempt.id] = attempt.host;
+  for (const relay::AttemptOut& attempt : out) elsewhere_[attempt.id] = {attempt.host, attempt.ends_at};
   io_.start(channel_->fd(), ev::READ);
+  WatchEnds();
 }
 
 void Attempts::OnIo(ev::io&, int) {
@@ -101,12 +109,32 @@
 void Attempts::End(const std::string& id, const relay::AttemptEnd& end) {
   const auto it = elsewhere_.find(id);
   if (it == elsewhere_.end()) return;
-  const std::string host = it->second;
+  const std::string host = it->second.host;
   elsewhere_.erase(it);
   if (end.told_wait > relay::Time(0)) told_wait_(host, end.told_wait);
   relay_->AttemptEnded(relay_->AttemptOf(id), end);
 }
 
+// The old process ends its attempts by their messages' time. Where it stands still and does not, the end is
+// owed all the same: the message is over then, and nothing more is tried for it.
+void Attempts::EndOverdue() {
+  const net::Time now = net::Loop::Now();
+  std::vector<std::string> overdue;
+  for (const auto& [id, attempt] : elsewhere_) {
+    if (attempt.ends_at > net::Time(0) && attempt.ends_at + kOldProcessFirst <= now) overdue.push_back(id);
+  }
+  for (const std::string& id : overdue) End(id, {wheathub::Outcome::kTimedOut, false, relay::Time(0)});
+  WatchEnds();
+}
+
+void Attempts::WatchEnds() {
+  net::Time next = net::Time::max();
+  for (const auto& [id, attempt] : elsewhere_) {
+    if (attempt.ends_at > net::Time(0)) next = std::min(next, attempt.ends_at);
+  }
+  if (next < net::Time::max()) overdue_.At(next + kOldProcessFirst);
+}
+
 // The old process has ended without a word of these: they may have run.
 void Attempts::Lost() {
   io_.stop();
--- a/src/handover/new_process.hpp
+++ b/src/handover/new_process.hpp
@@ -52,8 +52,6 @@
   void Attach(relay::Relay& relay) { relay_ = &relay; }
   // Before Relay::Recover, which is told of the same attempts.
   void TakeOver(Channel channel, const std::vector<relay::AttemptOut>& out);
-  // Some still go on there.
-  bool waiting() const { return !elsewhere_.empty(); }
 
   void Adopt(const relay::RoutingChange& change) override { own_.Adopt(change); }
   void Begin(relay::AttemptOrder order) override { own_.Begin(std::move(order)); }
@@ -62,9 +60,16 @@
   void ListValidUntil(relay::Time moment) override { own_.ListValidUntil(moment); }
 
  private:
+  struct Elsewhere {
+    std::string host;
+    relay::Time ends_at{0};  // of its message; 0: not told
+  };
+
   void OnIo(ev::io&, int);
   void Feed(const Packet& packet);
   void End(const std::string& id, const relay::AttemptEnd& end);
+  void EndOverdue();
+  void WatchEnds();
   void Lost();
 
   relay::EndpointSide& own_;
@@ -72,8 +77,9 @@
   Operated operate_;
   relay::Relay* relay_ = nullptr;
   std::optional<Channel> channel_;
-  std::map<std::string, std::string> elsewhere_;  // ids of messages, and the host of each attempt
+  std::map<std::string, Elsewhere> elsewhere_;  // by the message's id
   ev::io io_;
+  net::Timer overdue_;
 };
 
 }  // namespace oxbowspread::handover
--- a/src/handover/record.cpp
+++ b/src/handover/record.cpp
@@ -167,7 +167,9 @@
        address_waits = Json::array();
   for (const auto& h : estate.table.hosts) hosts.push_back(Of(h));
   for (const auto& b : estate.beliefs) beliefs.push_back(Of(b));
-  for (const auto& l : estate.out) out.push_back({l.id, l.host, l.begun.count()});
+  for (const auto& l : estate.out) {
+    out.push_back({l.id, l.host, l.begun.count(), l.ends_at.count()});
+  }
   for (const auto& w : estate.waits) waits.push_back({w.host, w.told_at.count(), w.until.count()});
   for (const auto& w : estate.address_waits) address_waits.push_back({w.address, w.until.count()});
   const std::string all = Cbor({{"revision", estate.table.revision},
@@ -191,7 +193,10 @@
     estate.list_valid_until = Time(j.value("list_valid_until", Time::rep{0}));  // an older process lacks it
     for (const Json& h : j.at("hosts")) estate.table.hosts.push_back(HostOf(h));
     for (const Json& b : j.at("beliefs")) estate.beliefs.push_back(BeliefOf(b));
-    for (const Json& l : j.at("out")) estate.out.push_back({l.at(0), l.at(1), TimeOf(l.at(2))});
+    for (const Json& l : j.at("out")) {
+      const Time ends_at = l.size() > 3 ? TimeOf(l.at(3)) : Time(0);
+      estate.out.push_back({l.at(0), l.at(1), TimeOf(l.at(2)), ends_at});
+    }
     for (const Json& w : j.at("waits")) estate.waits.push_back({w.at(0), TimeOf(w.at(1)), TimeOf(w.at(2))});
     for (const Json& w : j.value("address_waits", Json::array())) {
       estate.address_waits.push_back({w.at(0), TimeOf(w.at(1))});
--- a/src/relay/estate.hpp
+++ b/src/relay/estate.hpp
@@ -15,6 +15,7 @@
   std::string id;  // of its message, which has one at most
   std::string host;
   Time begun{0};
+  Time ends_at{0};  // its message's time; 0: an older process does not tell
 };
 
 struct HostWait {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -260,7 +260,10 @@
   all.table = table_.Listed();
   all.beliefs = decider_.beliefs();
   for (const auto& [attempt, out] : out_) {
-    if (out.written) all.out.push_back({attempt.id, out.host, out.begun});
+    if (!out.written) continue;
+    const auto held = held_.find(attempt.id);
+    const Time ends_at = held == held_.end() ? Time(0) : held->second.ends_at;
+    all.out.push_back({attempt.id, out.host, out.begun, ends_at});
   }
   TakeBackUnwritten();
   return all;
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -83,7 +83,7 @@
   belief.health.state = wheathub::State::kDown;
   belief.health.failing = 0.25;
   estate.beliefs = {belief};
-  estate.out = {{"m1", "a", 77s}};
+  estate.out = {{"m1", "a", 77s, 88s}};
   estate.waits = {{"a", 1s, 2s}};
   estate.address_waits = {{"127.0.0.1:7", 3s}};
   estate.list_valid_until = 99s;
@@ -97,6 +97,7 @@
   CHECK(read.beliefs.at(0).health.state == wheathub::State::kDown);
   CHECK(read.beliefs.at(0).health.failed_at == wheathub::EndpointBelief::kNever);
   CHECK(read.out.at(0).begun == 77s);
+  CHECK(read.out.at(0).ends_at == 88s);
   CHECK(read.waits.at(0).until == 2s);
   REQUIRE(read.address_waits.size() == 1);
   CHECK(read.address_waits.front().address == "127.0.0.1:7");
@@ -273,6 +274,26 @@
   CHECK(r.old.WaitForEnd() == 0);
 }
 
+// Found beside the test above: the old process alone held the clock of an attempt that went on in it. Where
+// it stood still past the message's time, no end was told until it went on or died.
+TEST_CASE("a message whose attempt is out in an old process that stands ends by its time") {
+  Upgrade r;
+  r.old.Start();
+  Client client(r.old);
+  client.Put("out", "hello", 2500);
+  const auto sent = Clock::now();
+  REQUIRE(client.Line() == "+OK");
+  r.world.NextCall();
+  r.Over();
+  r.old.Halt();
+  r.world.Until([&] { return r.world.notices.count("out") > 0; });
+  CHECK(Clock::now() - sent <= 2500ms + 350ms);
+  CHECK(r.world.notices.at("out").at("status") == "undeliverable");
+  CHECK_FALSE(r.world.CallWithin(500ms));  // nothing is tried after the end
+  r.old.GoOn();
+  CHECK(r.old.WaitForEnd() == 0);
+}
+
 TEST_CASE("the old process killed with an attempt out: it may have run, and goes on by the rules") {
   Upgrade r;
   r.old.Start();
