Tell the lab's two attempts at once apart from the relay's, by a trace and three tests

The trace has the second call and the end of the first, in this order, in one microsecond: one round of the lab's loop.

The tests read the second call and look whether the first one's connection has ended, after a time-out, a spoilt answer and one that never ends.

--- a/tests/relay/endpoint_crossing_test.cpp
+++ b/tests/relay/endpoint_crossing_test.cpp
@@ -116,6 +116,40 @@
   CHECK(client.Counters()["timed_out"] == 0);
 }
 
+// Two runs of the lab beside others had said that a message was called twice at once. In its stand-ins the
+// end of the first call and the second call came in one round of their loop, the call first (traced: both at
+// 11.369281 s). Here the first one's socket is looked at as the second call is read.
+struct EndedFirst : Rooms {
+  EndedFirst() { relay.config["settings"]["services"][0]["semantics"] = "idempotent"; }
+  // `end` brings the first call to its end.
+  void Check(const std::function<void(const HttpRequest&)>& end) {
+    relay.Start();
+    Client client(relay);
+    const HttpRequest first = Deliver(client, "id-1");
+    end(first);
+    const HttpRequest second = world.NextCall(8s);
+    CHECK(first.from->Ended());
+    CHECK(second.id() == "id-1");
+    world.Answer(second, "200 OK");
+    UntilCount(client, "delivered", 1);
+  }
+};
+
+TEST_CASE("an attempt whose time is out has ended on its connection before the next one begins") {
+  EndedFirst e;
+  e.Check([](const HttpRequest&) {});
+}
+
+TEST_CASE("an attempt whose answer is spoilt has ended on its connection before the next one begins") {
+  EndedFirst e;
+  e.Check([](const HttpRequest& call) { call.from->Send("HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n"); });
+}
+
+TEST_CASE("an attempt whose answer never ends has ended on its connection before the next one begins") {
+  EndedFirst e;
+  e.Check([](const HttpRequest& call) { call.from->Send("HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\n"); });
+}
+
 TEST_CASE(
     "an answer that comes together with SIGTERM is on record: the next process neither repeats nor ends it") {
   Rooms r;
--- a/tests/relay/rig.cpp
+++ b/tests/relay/rig.cpp
@@ -99,6 +99,12 @@
   }
 }
 
+bool Socket::Ended() const {
+  char byte = 0;
+  return fd_ < 0 || recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void Socket::UntilTaken() const {
   const auto until = Clock::now() + 5s;
   int left = 1;
--- a/tests/relay/rig.hpp
+++ b/tests/relay/rig.hpp
@@ -37,6 +37,7 @@
   void Segment(int most) const;           // bytes in a segment to what it accepts: less is on its way
   void Reset();                           // closes with a reset
   void Send(const std::string& bytes) const;
+  bool Ended() const;       // the other side has closed it, or this one has
   void UntilTaken() const;  // until the other side's system has all that was sent
   // What came within the limit; empty when nothing did, and `ended` when the other side closed.
   // `error` why, 0 if it did so without a reset.
