Refuse a deduplicated class without key-scope, at SIGHUP and at a start

Cause: kOptionalKeys let the key be missing for every class, CheckClass asked a deduplicated class for its window only, and ReadClass took a missing scope as "all", the widest one, and any unknown word as "zone". So did a start and a process that takes over.

Change: a deduplicated class needs key-scope; it is all, zone or cell; the wire's reader takes a missing one as bound to a zone. Classes of other semantics may leave it out, as before.

Measured: with src as it was, the four new tests and the new rows of "invalid settings end the start" fail: a message runs in 2 zones where 1 is right.

--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -117,6 +117,19 @@
     throw Error(path + "." + key, "is too large: " + it->dump());
 }
 
+// Checks a text that must be one of a few words, if the key is present.
+void CheckWord(const std::string& path, const Json& object, const char* key,
+               const std::vector<std::string>& words) {
+  const auto it = object.find(key);
+  if (it == object.end() || std::find(words.begin(), words.end(), *it) != words.end()) return;
+  std::string expected;
+  for (const std::string& word : words) {
+    if (!expected.empty()) expected += word == words.back() ? " or " : ", ";
+    expected += word;
+  }
+  throw Error(path + "." + key, "must be " + expected + ", not " + it->dump());
+}
+
 void CheckClass(const Json& service, std::set<std::string>* class_names) {
   const auto name = service.is_object() ? service.find("name") : service.end();
   const bool has_name = service.is_object() && name != service.end() && name->is_string() && *name != "";
@@ -138,11 +151,12 @@
   }
   for (const char* key : {"deadline-s", "goal-time-s", "repeat-window-s"})
     CheckAtMost(path, service, key, kMaxDurationSeconds);
-  static const std::set<std::string> semantics = {"idempotent", "deduplicated", "at_most_once"};
-  if (semantics.count(service["semantics"]) == 0)
-    throw Error(path + ".semantics",
-                "must be idempotent, deduplicated or at_most_once, not " + service["semantics"].dump());
-  if (service["semantics"] == "deduplicated" && !(service.value("repeat-window-s", 0.0) > 0))
+  CheckWord(path, service, "semantics", {"idempotent", "deduplicated", "at_most_once"});
+  CheckWord(path, service, "key-scope", {"all", "zone", "cell"});
+  if (service["semantics"] != "deduplicated") return;
+  if (service.count("key-scope") == 0)
+    throw Error(path + ".key-scope", "is missing, and the semantics deduplicated need it");
+  if (!(service.value("repeat-window-s", 0.0) > 0))
     throw Error(path + ".repeat-window-s", "must be above 0 for the semantics deduplicated");
 }
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -229,6 +229,13 @@
   return FromSeconds(seconds);
 }
 
+// A deduplicated class without a scope gets the narrowest one, because a repeat in another zone may run
+// again. All endpoints of a message are in the same cell, and those of one zone are some of them.
+bool AreRepeatsBoundToZone(const Json& object, Semantics semantics) {
+  const std::string default_scope = semantics == Semantics::kDeduplicated ? "zone" : "all";
+  return object.value("key-scope", default_scope) != "all";
+}
+
 MessageClass ReadClass(const Json& object) {
   MessageClass message_class;
   message_class.name = object.value("name", "");
@@ -242,7 +249,7 @@
   } else {
     throw std::invalid_argument("unknown semantics '" + semantics + "'");
   }
-  message_class.repeats_bound_to_zone = object.value("key-scope", "all") != "all";
+  message_class.repeats_bound_to_zone = AreRepeatsBoundToZone(object, message_class.semantics);
   message_class.ordered = object.value("one-at-a-time", false);
   message_class.aim = JsonSeconds(object, "goal-time-s");
   message_class.deadline = JsonSeconds(object, "deadline-s");
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -503,8 +503,8 @@
 }
 
 std::string Client::PutCommand(const std::string& id, const std::string& body, int deadline_ms,
-                               const std::string& attributes) {
-  const std::string all_attributes = "c=outbound,d=" + std::to_string(deadline_ms) + attributes;
+                               const std::string& attributes, const std::string& class_name) {
+  const std::string all_attributes = "c=" + class_name + ",d=" + std::to_string(deadline_ms) + attributes;
   std::string command = "*5\r\n";
   for (const std::string& part :
        {std::string("MSG.PUT"), std::string("0000000000000000"), id, all_attributes, body}) {
--- a/tests/relay/relay_harness.hpp
+++ b/tests/relay/relay_harness.hpp
@@ -220,7 +220,7 @@
   // Returns the bytes of a MSG.PUT command. `attributes` is appended to the attributes for class and
   // deadline.
   static std::string PutCommand(const std::string& id, const std::string& body, int deadline_ms,
-                                const std::string& attributes);
+                                const std::string& attributes, const std::string& class_name = "outbound");
   // Sends a MSG.PUT command.
   void Put(const std::string& id, const std::string& body = "hello", int deadline_ms = 8000,
            const std::string& attributes = ",k=key1,dest=7") const;
--- /dev/null
+++ b/tests/relay/repeat_scope_test.cpp
@@ -0,0 +1,127 @@
+// Repeats of deduplicated messages stay among the hosts that recognise them, whatever configuration file a
+// reload, a start or a new version of the relay brings.
+#include <signal.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "relay_harness.hpp"
+
+namespace oxbowspread::testing {
+namespace {
+
+using nlohmann::json;
+
+// A destination with one host in each of two zones. A host runs each message that it receives, except a
+// repeat of one that has already run in its own zone.
+struct TwoZoneFixture {
+  StubServices stubs;
+  Socket client_listener = Socket::Listen();
+  RelayProcess relay{stubs};
+  std::map<std::string, std::map<std::string, int>> runs;  // by message id and zone
+
+  TwoZoneFixture() {
+    stubs.AddHost("north", 7, "north-room");
+    stubs.AddHost("east", 7, "east-room");
+    relay.inherited_listener = &client_listener;
+  }
+  json& message_class() { return relay.config["settings"]["services"][0]; }
+
+  // Reloads the relay and returns the log line about the reload from its first word on.
+  std::string Reload(const json& config) {
+    const std::size_t before = relay.log().size();
+    relay.Reload(config.dump());
+    std::size_t line = std::string::npos;
+    stubs.WaitUntil([&] {
+      line = relay.log().find(": reload", before);
+      return line != std::string::npos && relay.log().find('\n', line) != std::string::npos;
+    });
+    return relay.log().substr(line + 2, relay.log().find('\n', line) - line - 2);
+  }
+  // Submits a message and returns the first line of the answer.
+  std::string Submit(const RelayProcess& process, const std::string& id, const std::string& class_name) {
+    return Client(process).Ask(Client::PutCommand(id, "hello", 8000, ",k=key-" + id + ",dest=7", class_name));
+  }
+  // Waits for an attempt of the message, lets its host run it, and answers with the status.
+  void RunNextCall(const std::string& id, const std::string& status) {
+    const HttpRequest call = stubs.NextCall();
+    REQUIRE(call.id() == id);
+    runs[id][stubs.HostOf(call)] = 1;
+    stubs.Answer(call, status);
+  }
+  // The number of zones in which the message ran, if its first attempt got an error and its repeat succeeds.
+  std::size_t ZonesOfRepeatedMessage(const std::string& id) {
+    RunNextCall(id, "500 No");
+    RunNextCall(id, "200 OK");
+    return runs[id].size();
+  }
+};
+
+// Returns the configuration without the scope of the class at that index.
+json WithoutScope(json config, int class_index) {
+  config["settings"]["services"][class_index].erase("key-scope");
+  return config;
+}
+
+// Guards against a second effect: without key-scope a class counted as deduplicated by all hosts, and a
+// repeat went to another zone.
+TEST_CASE("a message runs in one zone after SIGHUP with a file without key-scope") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  const std::string line = fixture.Reload(WithoutScope(fixture.relay.config, 0));
+  REQUIRE(fixture.Submit(fixture.relay, "m", "outbound") == "+OK");
+  CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
+  CHECK(line.find("reload refused: settings.services.outbound.key-scope: is missing") == 0);
+}
+
+// Guards against the same effect of a class that the running file lacks, or has with other semantics.
+TEST_CASE("SIGHUP refuses a class without key-scope that is new or becomes deduplicated") {
+  TwoZoneFixture fixture;
+  json idempotent = fixture.message_class();
+  idempotent["name"] = "changed";
+  idempotent["semantics"] = "idempotent";
+  idempotent.erase("key-scope");
+  fixture.relay.config["settings"]["services"].push_back(idempotent);
+  fixture.relay.Start();
+  json with_new_class = fixture.relay.config;
+  with_new_class["settings"]["services"].push_back(fixture.message_class());
+  with_new_class["settings"]["services"][2]["name"] = "new";
+  CHECK(fixture.Reload(WithoutScope(with_new_class, 2)).find("reload refused: settings.services.new.key-s") ==
+        0);
+  CHECK(fixture.Submit(fixture.relay, "n", "new").substr(0, 4) == "-ERR");
+  json with_changed_class = fixture.relay.config;
+  with_changed_class["settings"]["services"][1]["semantics"] = "deduplicated";
+  CHECK(fixture.Reload(with_changed_class).find("reload refused: settings.services.changed.key-scope") == 0);
+  // The same files with a scope are used, and so is a class that stops being deduplicated and loses its keys.
+  with_changed_class["settings"]["services"][1]["key-scope"] = "zone";
+  REQUIRE(fixture.Reload(with_changed_class).find("reloaded") == 0);
+  REQUIRE(fixture.Submit(fixture.relay, "m", "changed") == "+OK");
+  CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
+  REQUIRE(fixture.Reload(with_new_class).find("reloaded") == 0);
+  with_new_class["settings"]["services"][2]["semantics"] = "at_most_once";
+  with_new_class["settings"]["services"][2].erase("repeat-window-s");
+  CHECK(fixture.Reload(WithoutScope(with_new_class, 2)).find("reloaded") == 0);
+}
+
+// Guards against the same effect of a file that is read at a start.
+TEST_CASE("a relay without key-scope for a deduplicated class does not start or take over") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  RelayProcess new_version(fixture.stubs);
+  new_version.UseStateFolder(fixture.relay.state());
+  new_version.inherited_listener = &fixture.client_listener;
+  RelayProcess separate(fixture.stubs);
+  for (RelayProcess* process : {&new_version, &separate}) {
+    process->config = WithoutScope(process->config, 0);
+    int code = 0;
+    const std::string output = process->RunToExit(&code);
+    CHECK(code == 1);
+    CHECK(output.find("oxbowspread: settings.services.outbound.key-scope: is missing") == 0);
+    CHECK(std::count(output.begin(), output.end(), '\n') == 1);
+  }
+  REQUIRE(fixture.Submit(fixture.relay, "m", "outbound") == "+OK");
+  CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
+}
+
+}  // namespace
+}  // namespace oxbowspread::testing
--- a/tests/relay/settings_test.cpp
+++ b/tests/relay/settings_test.cpp
@@ -23,13 +23,7 @@
   }
   // Returns the MSG.PUT command of a message of that class.
   static std::string Put(const std::string& id, const std::string& class_name) {
-    const std::string attributes = "c=" + class_name + ",d=8000,k=key-" + id + ",dest=7";
-    std::string command = "*5\r\n";
-    for (const std::string& part :
-         {std::string("MSG.PUT"), std::string("0"), id, attributes, std::string("hello")}) {
-      command += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
-    }
-    return command;
+    return Client::PutCommand(id, "hello", 8000, ",k=key-" + id + ",dest=7", class_name);
   }
   // Reloads the relay with a valid configuration and waits until it has applied it.
   void Reload(const json& config) {
@@ -327,6 +321,9 @@
       {"/services/0/goal-time-s", -1, "settings.services.outbound.goal-time-s"},
       {"/services/0/worth", "much", "settings.services.outbound.worth"},
       {"/services/0/key-scope", 1, "settings.services.outbound.key-scope"},
+      {"/services/0/key-scope", nullptr, "settings.services.outbound.key-scope"},
+      {"/services/0/key-scope", "", "settings.services.outbound.key-scope"},
+      {"/services/0/key-scope", "All", "settings.services.outbound.key-scope"},
       {"/limits", 3, "settings.limits"},
       {"/limits/max-open", "many", "settings.limits.max-open"},
       {"/limits/max-open", -1, "settings.limits.max-open"},
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -39,6 +39,20 @@
   return std::get<EventType>(std::get<Event>(batch.items.at(index).content));
 }
 
+// Guards against repeats in another zone: a missing scope was read as the widest one.
+TEST(Read, ADeduplicatedClassWithoutAScopeIsBoundToOneZone) {
+  const auto is_bound = [](const std::string& keys) {
+    std::vector<std::string> report_fields;
+    const std::string text = R"({"services":[{"name":"a","deadline-s":5,"repeat-window-s":3,)" + keys + "}]}";
+    return ParseSettings(text, &report_fields).classes.at(0).repeats_bound_to_zone;
+  };
+  EXPECT_TRUE(is_bound(R"("semantics":"deduplicated")"));
+  EXPECT_TRUE(is_bound(R"("semantics":"deduplicated","key-scope":"zone")"));
+  EXPECT_TRUE(is_bound(R"("semantics":"deduplicated","key-scope":"cell")"));
+  EXPECT_FALSE(is_bound(R"("semantics":"deduplicated","key-scope":"all")"));
+  EXPECT_FALSE(is_bound(R"("semantics":"idempotent")"));
+}
+
 TEST(Read, Settings) {
   const Batch batch = ReadOne(WithLaunch(""));
   const Launch launch = std::get<Launch>(batch.items.at(0).content);
