--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/structure.hpp"
 #include "config/validation.hpp"
 #include "wire.hpp"
 
--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -18,31 +18,6 @@
 constexpr double kMaxAttempts = 1000;
 constexpr double kMaxWholeNumber = 1e9;
 
-// Keys that may be missing in a reloaded file: those that change with each start, and those that only some
-// message semantics require.
-const std::set<std::string> kOptionalKeys = {"known", "seed", "settings.services.key-scope",
-                                             "settings.services.repeat-window-s",
-                                             "settings.services.one-at-a-time"};
-
-std::string TypeName(const Json& value) { return value.is_number() ? "number" : value.type_name(); }
-
-void CompareStructure(const std::string& path, const Json& running, const Json& next) {
-  if (TypeName(running) != TypeName(next))
-    throw Error(path, "must be a " + TypeName(running) + ", not " + next.dump());
-  if (running.is_array() && !running.empty() && running.front().is_object()) {
-    // Each element must have all keys of the first element of the running array.
-    for (const Json& element : next) CompareStructure(path, running.front(), element);
-  }
-  if (!running.is_object()) return;
-  for (const auto& [key, value] : running.items()) {
-    const std::string key_path = path.empty() ? key : path + "." + key;
-    if (kOptionalKeys.count(key_path) > 0) continue;
-    const auto it = next.find(key);
-    if (it == next.end()) throw Error(key_path, "is missing");
-    CompareStructure(key_path, value, *it);
-  }
-}
-
 // The type of a value in the settings. Keys that are not listed in CheckSettings or CheckClass are not
 // checked.
 enum class ValueType {
@@ -162,8 +137,6 @@
 
 }  // namespace
 
-void CheckSameStructure(const Json& running, const Json& next) { CompareStructure("", running, next); }
-
 void CheckSettings(const Json& settings) {
   const std::string path = "settings";
   CheckKeys(path, settings,
--- a/tests/relay/repeat_scope_test.cpp
+++ b/tests/relay/repeat_scope_test.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "relay_harness.hpp"
+#include "reload_fixture.hpp"
 
 namespace oxbowspread::testing {
 namespace {
@@ -27,20 +27,10 @@
   }
   json& message_class() { return relay.config["settings"]["services"][0]; }
 
-  // Reloads the relay and returns the log line about the reload from its first word on.
-  std::string Reload(const json& config) {
-    const std::size_t before = relay.log().size();
-    relay.Reload(config.dump());
-    std::size_t line = std::string::npos;
-    stubs.WaitUntil([&] {
-      line = relay.log().find(": reload", before);
-      return line != std::string::npos && relay.log().find('\n', line) != std::string::npos;
-    });
-    return relay.log().substr(line + 2, relay.log().find('\n', line) - line - 2);
-  }
+  std::string Reload(const json& config) { return ReloadAndReadLog(stubs, relay, config); }
   // Submits a message and returns the first line of the answer.
-  std::string Submit(const RelayProcess& process, const std::string& id, const std::string& class_name) {
-    return Client(process).Ask(Client::PutCommand(id, "hello", 8000, ",k=key-" + id + ",dest=7", class_name));
+  std::string Submit(const std::string& id, const std::string& class_name) {
+    return Client(relay).Ask(PutOfClass(id, class_name));
   }
   // Waits for an attempt of the message, lets its host run it, and answers with the status.
   void RunNextCall(const std::string& id, const std::string& status) {
@@ -69,7 +59,7 @@
   TwoZoneFixture fixture;
   fixture.relay.Start();
   const std::string line = fixture.Reload(WithoutScope(fixture.relay.config, 0));
-  REQUIRE(fixture.Submit(fixture.relay, "m", "outbound") == "+OK");
+  REQUIRE(fixture.Submit("m", "outbound") == "+OK");
   CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
   CHECK(line.find("reload refused: settings.services.outbound.key-scope: is missing") == 0);
 }
@@ -88,14 +78,14 @@
   with_new_class["settings"]["services"][2]["name"] = "new";
   CHECK(fixture.Reload(WithoutScope(with_new_class, 2)).find("reload refused: settings.services.new.key-s") ==
         0);
-  CHECK(fixture.Submit(fixture.relay, "n", "new").substr(0, 4) == "-ERR");
+  CHECK(fixture.Submit("n", "new").substr(0, 4) == "-ERR");
   json with_changed_class = fixture.relay.config;
   with_changed_class["settings"]["services"][1]["semantics"] = "deduplicated";
   CHECK(fixture.Reload(with_changed_class).find("reload refused: settings.services.changed.key-scope") == 0);
   // The same files with a scope are used, and so is a class that stops being deduplicated and loses its keys.
   with_changed_class["settings"]["services"][1]["key-scope"] = "zone";
   REQUIRE(fixture.Reload(with_changed_class).find("reloaded") == 0);
-  REQUIRE(fixture.Submit(fixture.relay, "m", "changed") == "+OK");
+  REQUIRE(fixture.Submit("m", "changed") == "+OK");
   CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
   REQUIRE(fixture.Reload(with_new_class).find("reloaded") == 0);
   with_new_class["settings"]["services"][2]["semantics"] = "at_most_once";
@@ -119,7 +109,7 @@
     CHECK(output.find("oxbowspread: settings.services.outbound.key-scope: is missing") == 0);
     CHECK(std::count(output.begin(), output.end(), '\n') == 1);
   }
-  REQUIRE(fixture.Submit(fixture.relay, "m", "outbound") == "+OK");
+  REQUIRE(fixture.Submit("m", "outbound") == "+OK");
   CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
 }
 
--- a/tests/relay/settings_test.cpp
+++ b/tests/relay/settings_test.cpp
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "relay/class_registry.hpp"
-#include "relay_harness.hpp"
+#include "reload_fixture.hpp"
 
 namespace oxbowspread::testing {
 namespace {
@@ -21,16 +21,8 @@
     stubs.AddHost("a", 7);
     relay.Start();
   }
-  // Returns the MSG.PUT command of a message of that class.
-  static std::string Put(const std::string& id, const std::string& class_name) {
-    return Client::PutCommand(id, "hello", 8000, ",k=key-" + id + ",dest=7", class_name);
-  }
   // Reloads the relay with a valid configuration and waits until it has applied it.
-  void Reload(const json& config) {
-    const std::size_t before = relay.log().size();
-    relay.Reload(config.dump());
-    stubs.WaitUntil([&] { return relay.log().find(": reloaded", before) != std::string::npos; });
-  }
+  void Reload(const json& config) { REQUIRE(ReloadAndReadLog(stubs, relay, config).find("reloaded") == 0); }
 };
 
 TEST_CASE("a class keeps its index while messages use it and a free index is reused") {
@@ -60,7 +52,7 @@
 TEST_CASE("SIGHUP adds and removes classes and held messages keep the rules under which they were accepted") {
   ReloadFixture fixture;
   Client client(fixture.relay);
-  CHECK(client.Ask(fixture.Put("early", "second")).substr(0, 4) == "-ERR");
+  CHECK(client.Ask(PutOfClass("early", "second")).substr(0, 4) == "-ERR");
   auto config = fixture.relay.config;
   json second = config["settings"]["services"][0];
   second["name"] = "second";
@@ -68,15 +60,15 @@
   config["settings"]["services"].push_back(second);
   fixture.Reload(config);
   Client other(fixture.relay);
-  REQUIRE(other.Ask(fixture.Put("once", "second")) == "+OK");
+  REQUIRE(other.Ask(PutOfClass("once", "second")) == "+OK");
   const HttpRequest once = fixture.stubs.NextCall();
-  REQUIRE(other.Ask(fixture.Put("old", "outbound")) == "+OK");
+  REQUIRE(other.Ask(PutOfClass("old", "outbound")) == "+OK");
   const HttpRequest old = fixture.stubs.NextCall();
   // The name "outbound" gets the other semantics, and "second" is removed.
   config["settings"]["services"] = json::array({second});
   config["settings"]["services"][0]["name"] = "outbound";
   fixture.Reload(config);
-  CHECK(Client(fixture.relay).Ask(fixture.Put("late", "second")).substr(0, 4) == "-ERR");
+  CHECK(Client(fixture.relay).Ask(PutOfClass("late", "second")).substr(0, 4) == "-ERR");
   // An attempt that got an error may have run: an at-most-once message ends, a deduplicated one is repeated.
   fixture.stubs.Answer(once, "500 No");
   CHECK(fixture.stubs.WaitForNotice("once").at("status") == "undeliverable");
@@ -91,7 +83,7 @@
   CHECK(fixture.stubs.NextCall(8s).id() == "old");
   // A new message of the same class name follows the new settings.
   Client third(fixture.relay);
-  REQUIRE(third.Ask(fixture.Put("new", "outbound")) == "+OK");
+  REQUIRE(third.Ask(PutOfClass("new", "outbound")) == "+OK");
   HttpRequest call = fixture.stubs.NextCall(8s);
   while (call.id() != "new") call = fixture.stubs.NextCall(8s);
   fixture.stubs.Answer(call, "500 No");
@@ -105,8 +97,8 @@
   config["settings"]["limits"]["max-open"] = 1;
   fixture.Reload(config);
   Client client(fixture.relay);
-  REQUIRE(client.Ask(fixture.Put("one", "outbound")) == "+OK");
-  CHECK(client.Ask(fixture.Put("two", "outbound")).substr(0, 5) == "-BUSY");
+  REQUIRE(client.Ask(PutOfClass("one", "outbound")) == "+OK");
+  CHECK(client.Ask(PutOfClass("two", "outbound")).substr(0, 5) == "-BUSY");
   fixture.stubs.Answer(fixture.stubs.NextCall(), "503 Full");
   CHECK(fixture.stubs.WaitForNotice("one").at("status") == "deferred");
 }
@@ -159,9 +151,9 @@
   }
   expect_refused_change([](json& config) { config["settings"]["limits"]["send-cap"] = 2.5; },
                         "settings.limits.send-cap: ");
-  CHECK(client.Ask(fixture.Put("m", "added")).substr(0, 4) == "-ERR");
+  CHECK(client.Ask(PutOfClass("m", "added")).substr(0, 4) == "-ERR");
   Client new_client(fixture.relay);
-  REQUIRE(new_client.Ask(fixture.Put("m", "outbound")) == "+OK");
+  REQUIRE(new_client.Ask(PutOfClass("m", "outbound")) == "+OK");
   fixture.stubs.Answer(fixture.stubs.NextCall(), "200 OK");
   CHECK(new_client.Counters()["reloads_refused"] == refused);
   CHECK(new_client.Counters()["reloads"] == 0);
@@ -178,7 +170,7 @@
   CustomSettingsFixture() { stubs.AddHost("a", 7); }
   json& settings() { return relay.config["settings"]; }
   std::string Put(Client& client, const std::string& class_name) {
-    return client.Ask(ReloadFixture::Put("id-" + std::to_string(++messages_), class_name));
+    return client.Ask(PutOfClass("id-" + std::to_string(++messages_), class_name));
   }
 
  private:
@@ -235,7 +227,7 @@
   std::vector<Client> clients;
   for (int i = 0; i < 8; ++i) {
     clients.emplace_back(fixture.relay);
-    clients.back().socket().Send(ReloadFixture::Put("id-" + std::to_string(i), "outbound"));
+    clients.back().socket().Send(PutOfClass("id-" + std::to_string(i), "outbound"));
     clients.back().socket().WaitUntilAcknowledged();
   }
   fixture.relay.Resume();
@@ -358,7 +350,7 @@
     CHECK(std::count(output.begin(), output.end(), '\n') == 1);
   }
   Client client(running.relay);
-  REQUIRE(client.Ask(ReloadFixture::Put("m", "outbound")) == "+OK");
+  REQUIRE(client.Ask(PutOfClass("m", "outbound")) == "+OK");
   running.stubs.Answer(running.stubs.NextCall(), "200 OK");
   CHECK(client.Counters()["reloads_refused"] == static_cast<long>(cases.size()));
 }
