Keep the indexes of zones and kinds when a file lists them in another order

What callers saw: nothing in the field; found by asking what else a file weakens in silence. A message that may have run in one room was repeated in another one, and ran twice, after SIGHUP, a restart or a new version with a file that lists zones in another order.

A kind taken for another one also let a wait bind one host of two that share a limit.

Names that are not in the settings have indexes that don't depend on these.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -16,6 +16,7 @@
 #include "apps/arguments.hpp"
 #include "client/client_server.hpp"
 #include "config/config.hpp"
+#include "config/index_names.hpp"
 #include "control/server.hpp"
 #include "endpoint/pool.hpp"
 #include "handover/handover_server.hpp"
@@ -83,14 +84,14 @@
 class RelayProcess final : public handover::HandoverSender::Owner {
  public:
   RelayProcess(const config::Config& config, Options options, handover::StartupState startup_state)
-      : config_(config),
-        options_(std::move(options)),
+      : options_(std::move(options)),
         startup_state_(std::move(startup_state)),
-        phases_([this](Phase phase) { OnPhase(phase); }),
-        discovery_address_(RequireAddress("discovery", config.discovery)),
         journal_(config.state, config.disk_bytes, startup_state_.InFlightIds()),
+        config_(WithIndexesOf(journal_, config)),
+        phases_([this](Phase phase) { OnPhase(phase); }),
+        discovery_address_(RequireAddress("discovery", config_.discovery)),
         clock_(loop_),
-        endpoint_pool_(loop_, PoolLimitsOf(config), counters_),
+        endpoint_pool_(loop_, PoolLimitsOf(config_), counters_),
         transport_(
             loop_, endpoint_pool_,
             [this](const std::string& host, relay::Time wait) {
@@ -99,9 +100,9 @@
             [this](const std::string& name, const std::string& argument) {
               return HandleManagementCommand({name, argument}).value_or("");
             }),
-        discovery_(loop_, {discovery_address_, config.discovery}, NamesOf(config), counters_),
-        notices_(loop_, discovery_address_, config.discovery, counters_),
-        relay_(config.settings, config.seed, journal_, {clock_, transport_, notices_}, counters_),
+        discovery_(loop_, {discovery_address_, config_.discovery}, NamesOf(config_), counters_),
+        notices_(loop_, discovery_address_, config_.discovery, counters_),
+        relay_(config_.settings, config_.seed, journal_, {clock_, transport_, notices_}, counters_),
         terminate_signal_(loop_, SIGTERM, [this] { OnTerminate(); }),
         interrupt_signal_(loop_, SIGINT, [this] { OnTerminate(); }),
         report_signal_(loop_, SIGUSR1, [this] { PrintCounters(); }),
@@ -135,10 +136,18 @@
   }
 
  private:
+  // Returns the configuration with the indexes under which an earlier process recorded attempts, and records
+  // the indexes of new names. If that fails, the messages in the journal are delivered nevertheless.
+  static config::Config WithIndexesOf(journal::Journal& journal, config::Config config) {
+    config::KeepIndexes(journal.index_names(), &config);
+    if (!journal.RecordIndexNames(config::IndexNamesOf(config)))
+      std::cerr << config.name << ": settings.zones: can't be recorded in the state folder" << std::endl;
+    return config;
+  }
+
   static routing::ZoneAndKindNames NamesOf(const config::Config& config) {
-    routing::ZoneAndKindNames names{config.zones, {}};
-    for (const auto& kind : config.settings.kinds) names.kinds.push_back(kind.name);
-    return names;
+    const config::IndexNames names = config::IndexNamesOf(config);
+    return {names.zones, names.kinds};
   }
 
   static wheathub::ListSubscription::Options ListOptionsOf(const config::Config& config) {
@@ -408,6 +417,9 @@
     try {
       config::Config new_config = config::Reload(config_);
       const net::Address discovery_address = RequireAddress("discovery", new_config.discovery);
+      // Attempts are recorded with the indexes of their zones.
+      if (!journal_.RecordIndexNames(config::IndexNamesOf(new_config)))
+        throw config::Error("settings.zones", "can't be recorded in the state folder");
       relay_.UpdateSettings(new_config.settings);  // throws before anything has changed
       for (const std::string& key : config::KeysNeedingRestart(config_, new_config)) {
         std::cout << config_.name << ": reload: " << key << " stays as it is until a restart" << std::endl;
@@ -445,15 +457,15 @@
   }
   void PrintCounters() const { std::cout << CountersText() << std::flush; }
 
-  config::Config config_;
   Options options_;
   // The folder lock, and the state that another process handed over, which is applied up to kServing.
   handover::StartupState startup_state_;
+  journal::Journal journal_;
+  config::Config config_;
   relay::Counters counters_;
   net::Loop loop_;
   relay::PhaseMachine phases_;
   net::Address discovery_address_;
-  journal::Journal journal_;
   LoopClock clock_;
   endpoint::Pool endpoint_pool_;
   handover::TakeoverTransport transport_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/index_names.hpp"
 #include "config/structure.hpp"
 #include "config/validation.hpp"
 #include "wire.hpp"
@@ -176,6 +177,7 @@
 Config Reload(const Config& running) {
   Config config = Parse(ReadConfigFile());
   CheckSameStructure(Json::parse(running.file_text), Json::parse(config.file_text));
+  KeepIndexes(IndexNamesOf(running), &config);
   OverrideFromEnvironment("ROUTER_NAME", &config.name);
   OverrideFromEnvironment("ROUTER_LISTEN", &config.listen);
   OverrideFromEnvironment("ROUTER_STATE", &config.state);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -33,7 +33,7 @@
   std::string last_known_list;         // the last known routing table, as JSON text
   std::string file_text;               // the whole file, for comparison with a reloaded one
   wheathub::Settings settings;
-  std::vector<std::string> zones;  // zone names, in the order of the settings
+  std::vector<std::string> zones;  // zone names by index, like `settings.zone_fee`
 
   // Shares of the descriptors. Clients need a third of them for requests, and further connections may be in
   // the process of closing, so the share of clients is two fifths. The share of endpoint connections is one
@@ -52,8 +52,9 @@
 // `sockets` to the descriptor limit of the system. Throws Error.
 Config LoadFromEnvironment();
 // Reads the same file again while `running` is in use. Every key of the running file except a few optional
-// ones must be present with the same type. The environment dates from the start of the process, so the
-// `discovery` value of the file takes precedence over $ROUTER_DISCOVERY in a reload. Throws Error.
+// ones must be present with the same type. Zones and kinds keep the indexes that they have in `running`. The
+// environment dates from the start of the process, so the `discovery` value of the file takes precedence over
+// $ROUTER_DISCOVERY in a reload. Throws Error.
 Config Reload(const Config& running);
 // Returns the keys that differ between the configurations and that take effect only after a restart.
 std::vector<std::string> KeysNeedingRestart(const Config& running, const Config& next);
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -21,7 +21,8 @@
   kEnded,
   kClosed,
   kHostExcluded,
-  kHostIncluded
+  kHostIncluded,
+  kIndexNames
 };
 
 constexpr std::size_t kFrameBytes = 8;                // length and checksum before each payload
@@ -50,6 +51,11 @@
     bytes_ += text;
     return *this;
   }
+  RecordWriter& Put(const std::vector<std::string>& texts) {
+    Put(static_cast<std::uint32_t>(texts.size()));
+    for (const std::string& text : texts) Put(text);
+    return *this;
+  }
   RecordWriter& Put(const wheathub::MessageClass& message_class) {
     Put(static_cast<std::uint8_t>(message_class.semantics))
         .Put(std::uint8_t{message_class.repeats_bound_to_zone});
@@ -92,6 +98,12 @@
     remaining_.remove_prefix(size);
     return text;
   }
+  std::vector<std::string> GetTexts() {
+    std::vector<std::string> texts;
+    const auto count = Get<std::uint32_t>();
+    for (std::uint32_t i = 0; i < count && valid_; ++i) texts.push_back(GetText());
+    return texts;
+  }
   Attempt GetAttempt() {
     Attempt attempt;
     attempt.host = GetText();
@@ -157,6 +169,12 @@
   return RecordWriter(type).Put(host).bytes();
 }
 
+// The record has an empty message id. Versions that don't know the type ignore a record of an unknown
+// message.
+std::string EncodeIndexNames(const config::IndexNames& names) {
+  return RecordWriter(RecordType::kIndexNames).Put(std::string()).Put(names.zones).Put(names.kinds).bytes();
+}
+
 std::size_t MaxEncodedSize(const Entry& entry) { return kMaxEntryOverheadBytes + entry.message.body.size(); }
 
 [[noreturn]] void ThrowSystemError(const std::string& what) {
@@ -251,6 +269,13 @@
     if (reader.valid() && type == RecordType::kHostIncluded) excluded_hosts_.erase(id);
     return reader.valid();
   }
+  if (type == RecordType::kIndexNames) {
+    config::IndexNames names;
+    names.zones = reader.GetTexts();
+    names.kinds = reader.GetTexts();
+    if (reader.valid()) index_names_ = std::move(names);
+    return reader.valid();
+  }
   const auto it = entries_.find(id);
   if (it == entries_.end()) return reader.valid();
   Entry& entry = it->second;
@@ -312,11 +337,14 @@
   return Compact() && WriteRecord(fd_, payload, &file_bytes_);
 }
 
-// Writes all excluded hosts and open messages to a new file, which then replaces the old one atomically.
+// Writes the index names, all excluded hosts and all open messages to a new file, which then replaces the old
+// one atomically.
 bool Journal::Compact() {
   const int next_fd = open(next_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   std::size_t file_bytes = 0;
   bool written = next_fd >= 0;
+  if (written && index_names_ != config::IndexNames())
+    written = WriteRecord(next_fd, EncodeIndexNames(index_names_), &file_bytes);
   for (const std::string& host : excluded_hosts_) {
     written = written && WriteRecord(next_fd, EncodeHostRecord(RecordType::kHostExcluded, host), &file_bytes);
   }
@@ -385,6 +413,13 @@
   return true;
 }
 
+bool Journal::RecordIndexNames(const config::IndexNames& names) {
+  if (names == index_names_) return true;
+  if (!Append(EncodeIndexNames(names))) return false;
+  index_names_ = names;
+  return true;
+}
+
 bool Journal::Close(const std::string& id) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return true;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "config/index_names.hpp"
 #include "journal/entry.hpp"
 
 namespace oxbowspread::journal {
@@ -60,6 +61,11 @@
   bool ExcludeHost(const std::string& host);
   bool IncludeHost(const std::string& host);
 
+  // The names of the zones to which the recorded attempts refer, and of the kinds; empty if an early version,
+  // which did not store them, wrote the file. RecordIndexNames returns true once the names are recorded.
+  const config::IndexNames& index_names() const { return index_names_; }
+  bool RecordIndexNames(const config::IndexNames& names);
+
  private:
   void Recover(const std::set<std::string>& still_in_flight);
   // Applies a record read from the file. Returns false if the record is invalid.
@@ -81,6 +87,7 @@
   std::size_t truncated_bytes_ = 0;
   std::map<std::string, Entry> entries_;
   std::set<std::string> excluded_hosts_;
+  config::IndexNames index_names_;
 };
 
 }  // namespace oxbowspread::journal
--- a/src/routing/list.cpp
+++ b/src/routing/list.cpp
@@ -10,6 +10,10 @@
 
 using Json = nlohmann::json;
 
+// Indexes from here on stand for names that are not in the settings.
+constexpr int kFirstUnlistedIndex = 1'000'000;
+constexpr int kUnlistedIndexes = 1'000'000;
+
 // Returns the entry's zone or kind as an index. A number is used as it is, a name is looked up in `names`.
 // The default is 0.
 int IndexOf(const Json& entry, const char* key, const std::vector<std::string>& names) {
@@ -21,8 +25,8 @@
   const auto name = std::find(names.begin(), names.end(), text);
   if (name != names.end()) return static_cast<int>(name - names.begin());
   // A name that is not in the settings gets an index of its own, because two unknown zones must not be
-  // treated as the same zone.
-  return static_cast<int>(names.size() + std::hash<std::string>()(text) % 1'000'000);
+  // treated as the same zone. The index doesn't depend on the settings, which a reload may change.
+  return kFirstUnlistedIndex + static_cast<int>(std::hash<std::string>()(text) % kUnlistedIndexes);
 }
 
 wheathub::Lifecycle ParseLifecycle(const std::string& state) {
--- a/tests/relay/repeat_scope_test.cpp
+++ b/tests/relay/repeat_scope_test.cpp
@@ -39,6 +39,30 @@
     runs[id][stubs.HostOf(call)] = 1;
     stubs.Answer(call, status);
   }
+  // Pushes the host's state to the relay and waits until the relay has received it.
+  void Announce(RelayProcess& process, const std::string& host, const std::string& state) {
+    stubs.SetState(host, state);
+    process.WaitForLog("list: version " + std::to_string(stubs.List().at("version").get<int>()) +
+                       " received");
+  }
+  // Submits a message whose first attempt gets an error, while the host that it called is drained, so that
+  // the message waits for a repeat. Returns that host.
+  std::string SubmitAndFailFirstAttempt(const std::string& id) {
+    REQUIRE(Submit(id, "outbound") == "+OK");
+    const HttpRequest call = stubs.NextCall();
+    const std::string host = stubs.HostOf(call);
+    Announce(relay, host, "Terminating");
+    stubs.Answer(call, "500 No");
+    Client client(relay);
+    stubs.WaitUntil([&] { return client.Counters()["errors"] == 1; });
+    return host;
+  }
+  // Announces the other host anew and then the first one as ready again. Returns the host of the next call.
+  std::string HostOfRepeat(RelayProcess& process, const std::string& first_host) {
+    Announce(process, first_host == "north" ? "east" : "north", "Ready");
+    Announce(process, first_host, "Ready");
+    return stubs.HostOf(stubs.NextCall());
+  }
   // The number of zones in which the message ran, if its first attempt got an error and its repeat succeeds.
   std::size_t ZonesOfRepeatedMessage(const std::string& id) {
     RunNextCall(id, "500 No");
@@ -113,5 +137,74 @@
   CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
 }
 
+// Returns the configuration with its zones in the opposite order.
+json WithZonesReversed(json config) {
+  json& zones = config["settings"]["zones"];
+  std::reverse(zones.begin(), zones.end());
+  return config;
+}
+
+// Guards against a second effect: the zone of a failed attempt was kept as a position in the settings, which
+// stood for another zone once a file listed the zones in another order.
+TEST_CASE("a message is repeated in its zone after SIGHUP with the zones in another order") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  const std::string host = fixture.SubmitAndFailFirstAttempt("m");
+  REQUIRE(fixture.Reload(WithZonesReversed(fixture.relay.config)).find("reloaded") == 0);
+  CHECK(fixture.HostOfRepeat(fixture.relay, host) == host);
+}
+
+TEST_CASE("a message is repeated in its zone after a restart with the zones in another order") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  const std::string host = fixture.SubmitAndFailFirstAttempt("m");
+  fixture.relay.Signal(SIGKILL);
+  fixture.relay.WaitForExit();
+  fixture.relay.config = WithZonesReversed(fixture.relay.config);
+  fixture.relay.Start();
+  CHECK(fixture.HostOfRepeat(fixture.relay, host) == host);
+}
+
+TEST_CASE("a message is repeated in its zone by a new version with the zones in another order") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  const std::string host = fixture.SubmitAndFailFirstAttempt("m");
+  RelayProcess new_version(fixture.stubs);
+  new_version.UseStateFolder(fixture.relay.state());
+  new_version.inherited_listener = &fixture.client_listener;
+  new_version.config = WithZonesReversed(new_version.config);
+  new_version.Start();
+  fixture.relay.WaitForLog("given over");
+  CHECK(fixture.HostOfRepeat(new_version, host) == host);
+}
+
+// Guards against a call before a told wait is over: a host that was handed over kept its kind as a position,
+// and a destination whose hosts share one limit counted as one with separate routes.
+TEST_CASE("a wait binds all hosts of a destination that a new version takes over with other positions") {
+  TwoZoneFixture fixture;
+  json& settings = fixture.relay.config["settings"];
+  settings["models"] = {"partner", "depot"};
+  settings["family-info"]["kind-apart"] = {false, true};
+  settings["family-info"]["bundle-max"] = {1, 1};
+  settings["services"][0]["key-scope"] = "all";
+  fixture.relay.Start();
+  fixture.stubs.WaitUntil([&] { return fixture.stubs.open_watches() == 1; });
+  RelayProcess new_version(fixture.stubs);
+  new_version.UseStateFolder(fixture.relay.state());
+  new_version.inherited_listener = &fixture.client_listener;
+  new_version.config["settings"] = settings;
+  new_version.config["settings"]["models"] = {"depot", "partner"};
+  new_version.config["settings"]["family-info"]["kind-apart"] = {true, false};
+  fixture.stubs.discovery_silent = true;  // the new process has the list that was handed over
+  new_version.Start();
+  fixture.relay.WaitForLog("given over");
+  REQUIRE(fixture.Submit("m", "outbound") == "+OK");
+  const HttpRequest call = fixture.stubs.NextCall();
+  const auto told_at = Clock::now();
+  fixture.stubs.Answer(call, "429 Too Many Requests", "Retry-After: 1\r\n");
+  CHECK(fixture.stubs.NextCall().id() == "m");
+  CHECK(Clock::now() - told_at >= 1s);
+}
+
 }  // namespace
 }  // namespace oxbowspread::testing
