Refuse a configuration file that gives a key twice

What callers saw: nothing in the field; found by asking what else a file weakens in silence. With "key-scope":"zone","key-scope":"all" a message whose attempt failed in one room ran in the other one as well.

Cause: the JSON parser keeps the last of two values, and config::Parse did not look.

Change: config::ParseObject refuses a key that its object already has, by its path.

Measured: with the plain parser in its place the new test fails (2 zones, file taken); with the change it passes, and so do the 14 tests of settings and reloads (512 assertions).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "config/index_names.hpp"
+#include "config/json_text.hpp"
 #include "config/structure.hpp"
 #include "config/validation.hpp"
 #include "wire.hpp"
@@ -115,8 +116,7 @@
 }  // namespace
 
 Config Parse(const std::string& text) {
-  const Json root = Json::parse(text, nullptr, false);
-  if (!root.is_object()) throw Error("ROUTER_CONFIG", "does not contain a JSON object");
+  const Json root = ParseObject(text);
   Config config;
   config.file_text = text;
   config.name = TextAt(root, "name");
--- a/tests/relay/reload_fixture.hpp
+++ b/tests/relay/reload_fixture.hpp
@@ -13,11 +13,11 @@
   return Client::PutCommand(id, "hello", 8000, ",k=key-" + id + ",dest=7", class_name);
 }
 
-// Reloads the relay with that configuration and returns the log line about the result, without the relay's
+// Reloads the relay with that text as its file and returns the log line about the result, without the relay's
 // name: "reloaded, ..." or "reload refused: KEY: ...".
-inline std::string ReloadAndReadLog(StubServices& stubs, RelayProcess& relay, const nlohmann::json& config) {
+inline std::string ReloadAndReadLog(StubServices& stubs, RelayProcess& relay, const std::string& text) {
   const std::size_t before = relay.log().size();
-  relay.Reload(config.dump());
+  relay.Reload(text);
   std::size_t start = std::string::npos, end = std::string::npos;
   stubs.WaitUntil([&] {
     start = std::min(relay.log().find(": reloaded", before), relay.log().find(": reload refused", before));
--- a/tests/relay/reload_structure_test.cpp
+++ b/tests/relay/reload_structure_test.cpp
@@ -37,7 +37,7 @@
     added["name"] = "added";
     classes.push_back(added);
     change(classes);
-    return ReloadAndReadLog(stubs, relay, config);
+    return ReloadAndReadLog(stubs, relay, config.dump());
   }
 };
 
@@ -78,7 +78,7 @@
       }};
   for (const auto& change : changes) {
     CHECK(fixture.ReloadWith(change).find("reloaded") == 0);
-    CHECK(ReloadAndReadLog(fixture.stubs, fixture.relay, fixture.relay.config).find("reloaded") == 0);
+    CHECK(ReloadAndReadLog(fixture.stubs, fixture.relay, fixture.relay.config.dump()).find("reloaded") == 0);
   }
 }
 
--- a/tests/relay/repeat_scope_test.cpp
+++ b/tests/relay/repeat_scope_test.cpp
@@ -27,7 +27,7 @@
   }
   json& message_class() { return relay.config["settings"]["services"][0]; }
 
-  std::string Reload(const json& config) { return ReloadAndReadLog(stubs, relay, config); }
+  std::string Reload(const json& config) { return ReloadAndReadLog(stubs, relay, config.dump()); }
   // Submits a message and returns the first line of the answer.
   std::string Submit(const std::string& id, const std::string& class_name) {
     return Client(relay).Ask(PutOfClass(id, class_name));
@@ -88,6 +88,19 @@
   CHECK(line.find("reload refused: settings.services.outbound.key-scope: is missing") == 0);
 }
 
+// Guards against a second effect: of two values for one key the last one was used.
+TEST_CASE("a message runs in one zone after SIGHUP with a file that gives key-scope twice") {
+  TwoZoneFixture fixture;
+  fixture.relay.Start();
+  std::string text = fixture.relay.config.dump();
+  const std::string scope = R"("key-scope":"zone",)";
+  text.insert(text.find(scope) + scope.size(), R"("key-scope":"all",)");
+  const std::string line = ReloadAndReadLog(fixture.stubs, fixture.relay, text);
+  REQUIRE(fixture.Submit("m", "outbound") == "+OK");
+  CHECK(fixture.ZonesOfRepeatedMessage("m") == 1);
+  CHECK(line.find("reload refused: settings.services.key-scope: is given twice") == 0);
+}
+
 // Guards against the same effect of a class that the running file lacks, or has with other semantics.
 TEST_CASE("SIGHUP refuses a class without key-scope that is new or becomes deduplicated") {
   TwoZoneFixture fixture;
--- a/tests/relay/settings_test.cpp
+++ b/tests/relay/settings_test.cpp
@@ -22,7 +22,9 @@
     relay.Start();
   }
   // Reloads the relay with a valid configuration and waits until it has applied it.
-  void Reload(const json& config) { REQUIRE(ReloadAndReadLog(stubs, relay, config).find("reloaded") == 0); }
+  void Reload(const json& config) {
+    REQUIRE(ReloadAndReadLog(stubs, relay, config.dump()).find("reloaded") == 0);
+  }
 };
 
 TEST_CASE("a class keeps its index while messages use it and a free index is reused") {
