Refuse unknown words for discovery, weights and decay in the settings

What callers saw: nothing; found by asking what else a file weakens in silence. "Ask" was read as push, "Rough" as none.

Cause: CheckSettings asked for any text, and the readers in src/wire.cpp take a word that they don't know for the first one: a relay that has to ask the platform's discovery called it like an agent of its own machine, and announced rates were passed over.

Measured: with src as it was the new rows of "invalid settings end the start" fail (the file with decay "halves" is taken); with the change the test passes, and so does "settings with absent keys or zeros".

--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -144,10 +144,10 @@
              {"rank", ValueType::kWholeNumber},
              {"models", ValueType::kTextList},
              {"zones", ValueType::kTextList},
-             {"weights", ValueType::kText},
              {"over-share-worth", ValueType::kAnyNumber},
-             {"discovery", ValueType::kText},
              {"tick-s", ValueType::kNonNegative}});
+  CheckWord(path, settings, "discovery", {"push", "ask"});
+  CheckWord(path, settings, "weights", {"none", "nominal", "rough", "live"});
   const auto services = settings.find("services");
   const bool has_classes = services != settings.end() && services->is_array() && !services->empty();
   if (!has_classes) throw Error("settings.services", "must be a list of classes");
@@ -179,11 +179,12 @@
   for (const auto& [key, type] : times)
     CheckAtMost("settings.invariants", invariants, key, kMaxDurationSeconds);
   check_section("family-info", {{"calls-out", ValueType::kWholeNumber},
-                                {"decay", ValueType::kText},
                                 {"refused-price", ValueType::kAnyNumber},
                                 {"carriage", ValueType::kNumberList},
                                 {"kind-apart", ValueType::kBoolList},
                                 {"bundle-max", ValueType::kWholeNumberList}});
+  CheckWord("settings.family-info", settings.value("family-info", Json::object()), "decay",
+            {"even", "by_half"});
   const Json tenants = settings.value("projects", Json::array());
   if (!tenants.is_array()) throw Error("settings.projects", "must be a list of tenants");
   for (const Json& tenant : tenants) {
