Log each missing key that rules rest on when a relay starts

What operators saw: nothing. SIGHUP refuses a file that lacks such a key, and the next start or new version took the same file without a word: with no cold-from an endpoint returns at full capacity, with no send-cap attempts have no limit.

Cause: a start has no running file to compare with, and files that lack whole sections are allowed there (the test of absent keys).

Change: config::DefaultedRuleKeys names each such key and what stands in its place; the relay logs a line for each at its start. Refusing was weighed: it would turn away files that start today.

Measured: with the loop taken out the new test fails; with it it passes.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -548,6 +548,8 @@
   try {
     options.argv = argv;
     const config::Config config = config::LoadFromEnvironment();
+    for (const std::string& line : config.defaulted_rule_keys)
+      std::cout << config.name << ": " << line << std::endl;
     // SIGTERM and SIGINT cause an orderly shutdown from here on. They end a process that waits for a handover
     // immediately, because it has no work to finish.
     if (config.listen_fd < 0) net::Signal::Block(SIGTERM);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -136,6 +136,7 @@
   const auto settings = root.find("settings");
   if (settings == root.end() || !settings->is_object()) throw Error("settings", "must be an object");
   CheckSettings(*settings);
+  config.defaulted_rule_keys = DefaultedRuleKeys(*settings);
   std::vector<std::string> report_fields;
   try {
     config.settings = wheathub::wire::ParseSettings(settings->dump(), &report_fields);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -32,6 +32,8 @@
   std::size_t disk_bytes = 3'000'000;  // from limits.disk_mb, which may be fractional
   std::string last_known_list;         // the last known routing table, as JSON text
   std::string file_text;               // the whole file, for comparison with a reloaded one
+  // A line of text for each missing key of the settings that rules rest on, with the default.
+  std::vector<std::string> defaulted_rule_keys;
   wheathub::Settings settings;
   std::vector<std::string> zones;  // zone names by index, like `settings.zone_fee`
 
--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -193,4 +193,26 @@
   }
 }
 
+std::vector<std::string> DefaultedRuleKeys(const Json& settings) {
+  struct RuleKey {
+    const char* pointer;
+    const char* key;
+    const char* default_meaning;
+  };
+  static const std::vector<RuleKey> rule_keys = {
+      {"/balancers", "balancers", "this relay counts as the only one"},
+      {"/discovery", "discovery", "lists count as pushed"},
+      {"/family-info/calls-out", "family-info.calls-out", "calls at once have no limit"},
+      {"/limits/max-open", "limits.max-open", "messages held at once have no limit"},
+      {"/limits/send-cap", "limits.send-cap", "attempts of a message have no limit"},
+      {"/invariants/cold-from", "invariants.cold-from", "endpoints return with their full capacity"},
+      {"/invariants/cold-s", "invariants.cold-s", "endpoints return with their full capacity"}};
+  std::vector<std::string> lines;
+  for (const RuleKey& rule_key : rule_keys) {
+    if (settings.contains(Json::json_pointer(rule_key.pointer))) continue;
+    lines.push_back(std::string("settings.") + rule_key.key + " is missing: " + rule_key.default_meaning);
+  }
+  return lines;
+}
+
 }  // namespace oxbowspread::config
--- a/src/config/validation.hpp
+++ b/src/config/validation.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 namespace oxbowspread::config {
 
@@ -10,4 +12,8 @@
 // type or is out of range. Keys that the relay doesn't read may have any value.
 void CheckSettings(const nlohmann::json& settings);
 
+// Returns a line of text for each key of the settings that rules rest on and that is missing, with the
+// default that takes its place. A file may lack them, but the operator has to know.
+std::vector<std::string> DefaultedRuleKeys(const nlohmann::json& settings);
+
 }  // namespace oxbowspread::config
--- a/tests/relay/settings_test.cpp
+++ b/tests/relay/settings_test.cpp
@@ -297,6 +297,27 @@
   }
 }
 
+// Guards against weaker rules in silence: SIGHUP refuses a file that lacks such a key, but a start takes it.
+TEST_CASE("a start logs each missing key that rules rest on") {
+  const std::vector<std::string> pointers = {
+      "/balancers",        "/discovery",       "/family-info/calls-out",
+      "/limits/max-open",  "/limits/send-cap", "/invariants/cold-from",
+      "/invariants/cold-s"};
+  CustomSettingsFixture fixture;
+  for (const std::string& text : pointers) {
+    const json::json_pointer pointer(text);
+    fixture.settings()[pointer.parent_pointer()].erase(pointer.back());
+  }
+  fixture.relay.Start();
+  for (std::string key : pointers) {
+    std::replace(key.begin(), key.end(), '/', '.');
+    INFO(key);
+    CHECK(fixture.relay.log().find(": settings" + key + " is missing: ") != std::string::npos);
+  }
+  ReloadFixture complete;
+  CHECK(complete.relay.log().find("is missing") == std::string::npos);
+}
+
 TEST_CASE("invalid settings end the start and change nothing at SIGHUP with one line that names the key") {
   struct InvalidSetting {
     const char* pointer;
