Remove members that nothing uses and keep one stub host with a full backlog

Change: the unused members are gone; FullBacklogHost has a header of its own, which the race tests and relay_test share.

--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -37,7 +37,6 @@
 void Server::HandleRequest(std::uint64_t session_id, Json request) {
   const auto it = sessions_.find(session_id);
   if (it == sessions_.end()) return;
-  it->second.has_requested = true;
   it->second.first_request_timer->Stop();
   request["from"] = it->second.peer->name();
   const Json id = request.value("id", Json());
--- a/src/control/server.hpp
+++ b/src/control/server.hpp
@@ -34,7 +34,6 @@
   struct Session {
     std::unique_ptr<Peer> peer;
     std::unique_ptr<net::Timer> first_request_timer;
-    bool has_requested = false;
   };
 
   void Accept(int fd);
--- a/src/election/leader_election.hpp
+++ b/src/election/leader_election.hpp
@@ -154,7 +154,6 @@
  private:
   enum class Role { kFollower, kCandidate, kLeader };
 
-  void HandleMessage(Time now, const MessageReceived& received);
   Message AnswerRequest(Time now, const std::string& from, const Message& message,
                         std::vector<Action>* actions);
   void StartElection(Time now, std::vector<Action>* actions);
--- a/src/model/platform_model.hpp
+++ b/src/model/platform_model.hpp
@@ -257,7 +257,6 @@
   int PickRelay();
   void DeliverCallToHost(std::uint64_t call);
   void FinishCall(std::uint64_t call);
-  void Answer(std::uint64_t number, Call& call);
   void AddListChange(std::size_t host, ListEntry::State state);
   void SendListChanges(int relay);
   void SetDiscoveryState(const ScheduledEvent& scheduled);
--- a/tests/relay/race_fixture.hpp
+++ b/tests/relay/race_fixture.hpp
@@ -1,9 +1,9 @@
-// Fixtures of the race tests: a relay that can be suspended while events queue up for it, and a host that
-// delays the relay's connections.
+// Fixture of the race tests: a relay that can be suspended while events queue up for it.
 #pragma once
 
 #include <catch2/catch.hpp>
 
+#include "full_backlog_host.hpp"
 #include "relay_harness.hpp"
 
 namespace oxbowspread::testing {
@@ -32,23 +32,4 @@
   }
 };
 
-// A host with a listen backlog of one connection. While another connection fills the backlog, the relay's
-// connection is not established.
-struct FullBacklogHost {
-  Socket listener = Socket::Listen(0);
-  Socket backlog_connection;
-
-  FullBacklogHost(StubServices& stubs, const std::string& id, int destination) {
-    stubs.AddHost(id, destination);
-    stubs.SetPort(id, listener.port());
-  }
-  void FillBacklog() { backlog_connection = Socket::Connect(listener.port()); }
-  // Accepts the connection that fills the backlog and then the relay's connection, which the relay's kernel
-  // retries. Returns the latter.
-  Socket AcceptRelayConnection() {
-    const Socket accepted_first = listener.Accept(5s);
-    return listener.Accept(5s);
-  }
-};
-
 }  // namespace oxbowspread::testing
--- a/tests/relay/relay_harness.hpp
+++ b/tests/relay/relay_harness.hpp
@@ -149,7 +149,6 @@
   Socket discovery_;
   std::map<std::string, Socket> listeners_;
   std::list<Peer> peers_;
-  std::list<Socket> closed_sockets_;  // kept, so that `connection` of a call stays valid
   std::map<const Socket*, std::string> host_of_;
   std::vector<HttpRequest> calls_;
   std::list<Peer*> queued_watches_;                          // watch requests that wait for their answer
@@ -239,8 +238,6 @@
   Socket& socket() { return socket_; }
 
  private:
-  std::string Bytes(std::size_t count);
-
   Socket socket_;
   std::string bytes_;
   int error_ = 0;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "full_backlog_host.hpp"
 #include "relay_harness.hpp"
 
 namespace oxbowspread::testing {
@@ -599,30 +600,11 @@
   }
 }
 
-// A host with a listen backlog of one connection. While another connection fills the backlog, the connection
-// of an attempt is not established.
-struct FullBacklogHost {
-  Socket listener = Socket::Listen(0);
-  Socket backlog_connection;
-
-  explicit FullBacklogHost(StubServices& stubs) {
-    stubs.AddHost("small-backlog", 8);
-    stubs.SetPort("small-backlog", listener.port());
-  }
-  void FillBacklog() { backlog_connection = Socket::Connect(listener.port()); }
-  // Accepts the connection that fills the backlog and then the attempt's connection, which the relay's kernel
-  // retries. Returns the latter.
-  Socket AcceptRelayConnection() {
-    const Socket accepted_first = listener.Accept(5s);
-    return listener.Accept(5s);
-  }
-};
-
 // A drain is violated if the first byte of a call is sent too late. On a slow connection that byte is written
 // long after the decision to call.
 TEST_CASE("an attempt still connecting when its host starts to drain is not sent") {
   RelayFixture fixture;
-  FullBacklogHost full_host(fixture.stubs);
+  FullBacklogHost full_host(fixture.stubs, "small-backlog", 8);
   full_host.FillBacklog();
   fixture.relay.Start();
   Client client(fixture.relay);
@@ -644,7 +626,7 @@
 // connection is established after it.
 TEST_CASE("an attempt still connecting when its host requests a wait is not sent") {
   RelayFixture fixture;
-  FullBacklogHost full_host(fixture.stubs);
+  FullBacklogHost full_host(fixture.stubs, "small-backlog", 8);
   fixture.relay.Start();
   Client client(fixture.relay);
   client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
