Keep the state folder within disk_mb by one sum that is reserved at submission

Callers saw: 54 messages of 60 KiB at one moment were all answered +OK, the folder held 6.7 MB of 3 MB for a third of a second, which the deployment counts as a crash, and 5 of 339 messages got no answer within 400 ms.

A start rewrote whatever it found, so a kill in the burst doubled the folder again. Names were counted by a flat 560 bytes.

Change: FolderBudget (no I/O) holds the sum of what all open messages, host names and index names can take in a rewritten file, and files of others. A message that would fit if others of its step were rejected waits for their answers.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -450,7 +450,11 @@
     return "phase=" + std::string(relay::NameOf(phases_.current())) +
            "\nheld=" + std::to_string(relay_.held_count()) +
            "\nout=" + std::to_string(relay_.in_flight_count()) +
-           "\njournal_bytes=" + std::to_string(journal_.file_bytes()) +
+           "\njournal_bytes=" + std::to_string(journal_.budget().file_bytes()) +
+           "\njournal_reserved_bytes=" + std::to_string(journal_.budget().recorded_bytes()) +
+           "\njournal_pending_bytes=" + std::to_string(journal_.budget().pending_bytes()) +
+           "\njournal_rewrites=" + std::to_string(journal_.rewrites()) +
+           "\nfolder_peak_bytes=" + std::to_string(journal_.budget().peak_bytes()) +
            "\ndrain_ms=" + std::to_string(drain_ms_) +
            "\nlist_age_ms=" + std::to_string(discovery_.time_since_received() / 1ms) + "\n" +
            counters_.Text();
--- a/src/journal/entry.hpp
+++ b/src/journal/entry.hpp
@@ -48,7 +48,9 @@
   std::string last_host;                   // host of the last attempt; empty if there is none
   std::optional<Ending> ending;  // present if the message has ended and its notice is not accepted yet
 
+  // An attempt that is still open then has no recorded end, because the process was killed. It may have run.
   void BeginAttempt(const Attempt& attempt) {
+    if (open_attempt) EndAttempt(true);
     ++attempts;
     open_attempt = attempt;
     last_host = attempt.host;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Room = journal::FolderBudget::Room;
 using wheathub::Outcome;
 
 // Retry-after time sent to a client whose message is rejected without consulting the decision module.
@@ -174,20 +175,45 @@
   }
   const auto max_held = static_cast<std::size_t>(std::max(0, settings_.max_open));
   const bool is_full = sending_stopped_ || (max_held > 0 && held_.size() + pending_.size() >= max_held);
-  const bool is_journal_full = !journal_.CanHold(message.body.size());
-  if (is_full || is_journal_full) {
+  const int class_index = classes_.IndexOf(message.class_name);
+  if (class_index >= 0) message.class_settings = classes_.at(class_index);
+  const Room room = is_full ? Room::kNone : journal_.RoomFor(message);
+  if (room == Room::kNone) {
     (is_full ? counters_.rejected_at_limit : counters_.rejected_by_journal) += 1;
     client.OnRejected(kDefaultRetryAfter);
     return;
   }
-  const int class_index = classes_.IndexOf(message.class_name);
-  if (class_index >= 0) message.class_settings = classes_.at(class_index);
+  const Time deadline = ports_.clock.Now() + (message.deadline - ports_.clock.UnixNow());
+  PendingMessage& pending = pending_[id] = {std::move(message), {&client}, deadline, {}};
+  if (room == Room::kFree) PassToDecider(pending);
+}
+
+void Relay::PassToDecider(PendingMessage& pending) {
+  pending.reservation.emplace(journal_.Reserve(pending.message));
   journal::Entry entry;
-  entry.message = message;
-  wheathub::Message event = MakeMessageEvent(entry);
-  event.expires_in = message.deadline - ports_.clock.UnixNow();
-  pending_[id] = {std::move(message), {&client}, ports_.clock.Now() + event.expires_in};
-  Queue(std::move(event));
+  entry.message = pending.message;
+  Queue(MakeMessageEvent(entry));
+}
+
+// A message waits only while another one has a reservation, and each step ends all reservations, so it waits
+// for as many steps as it takes to answer the messages before it.
+void Relay::AdmitWaiting() {
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    PendingMessage& pending = it->second;
+    const Room room = pending.reservation ? Room::kAfterPending : journal_.RoomFor(pending.message);
+    if (room == Room::kFree) PassToDecider(pending);
+    if (room == Room::kNone) {
+      counters_.rejected_by_journal += 1;
+      Reject(pending, kDefaultRetryAfter);
+      it = pending_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Relay::Reject(const PendingMessage& pending, Time retry_after) {
+  for (Client* client : pending.clients) client->OnRejected(retry_after);
 }
 
 // Rejects all pending messages, because a client whose connection is closed without an answer loses its
@@ -195,9 +221,7 @@
 // before the process exits.
 void Relay::StopSending() {
   if (std::exchange(sending_stopped_, true)) return;
-  for (const auto& [id, message] : std::exchange(pending_, {})) {
-    for (Client* client : message.clients) client->OnRejected(kDefaultRetryAfter);
-  }
+  for (const auto& [id, pending] : std::exchange(pending_, {})) Reject(pending, kDefaultRetryAfter);
   CancelUnwritten();
 }
 
@@ -223,7 +247,7 @@
       return message != nullptr && message->id == it->first;
     });
     pending_.erase(it);
-    return;
+    return AdmitWaiting();
   }
 }
 
@@ -234,24 +258,28 @@
     if (refuse != nullptr && pending_.count(refuse->id) > 0)
       retry_after_by_id[refuse->id] = refuse->retry_after;
   }
-  for (const auto& [id, pending] : std::exchange(pending_, {})) {
+  for (auto& [id, pending] : std::exchange(pending_, {})) {
     const auto it = retry_after_by_id.find(id);
-    if (it != retry_after_by_id.end()) {
+    if (!pending.reservation) {
+      pending_[id] = std::move(pending);
+    } else if (it != retry_after_by_id.end()) {
       counters_.rejected_by_decider += 1;
-      for (Client* client : pending.clients) client->OnRejected(it->second);
+      Reject(pending, it->second);
+      pending.reservation.reset();
     } else if (!AcceptPending(pending)) {
       // The message was not accepted, so the decision module must drop it. A Send that the module has already
       // returned for it is not executed.
       Queue(wheathub::Withdrawn{id});
     }
   }
+  AdmitWaiting();
 }
 
-bool Relay::AcceptPending(const PendingMessage& pending) {
+bool Relay::AcceptPending(PendingMessage& pending) {
   const journal::Message& message = pending.message;
-  if (!journal_.Accept(message)) {
+  if (!journal_.Accept(message, std::move(*pending.reservation))) {
     counters_.rejected_by_journal += 1;
-    for (Client* client : pending.clients) client->OnRejected(kDefaultRetryAfter);
+    Reject(pending, kDefaultRetryAfter);
     return false;
   }
   bool is_any_client_connected = false;
@@ -270,7 +298,7 @@
 // ---- handover and steps ----
 
 HandoverState Relay::PrepareHandover() {
-  if (!pending_.empty()) Step(ports_.clock.Now());
+  while (!pending_.empty()) Step(ports_.clock.Now());
   HandoverState handover_state;
   handover_state.routing_table = table_.Listed();
   handover_state.learned_states = decider_.learned_states();
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -137,11 +137,14 @@
     Time started_at{0};
     bool written = false;
   };
-  // A submitted message that the decision module has not answered yet.
+  // A submitted message that has not been answered yet.
   struct PendingMessage {
     journal::Message message;
     std::vector<Client*> clients;
     Time deadline{0};
+    // Empty while the message waits for the answers to those that have reserved the rest of the journal. The
+    // decision module does not know it until then.
+    std::optional<journal::Journal::Reservation> reservation;
   };
 
   void Step(Time now);
@@ -152,9 +155,15 @@
   void ScheduleStep();
   void Queue(wheathub::Event event);
   wheathub::Message MakeMessageEvent(const journal::Entry& entry);
+  // Reserves room in the journal for the message, and passes it to the decision module.
+  void PassToDecider(PendingMessage& pending);
+  // Passes pending messages without a reservation to the decision module if there is room for them now, and
+  // rejects those for which there is none in any case.
+  void AdmitWaiting();
+  void Reject(const PendingMessage& pending, Time retry_after);
   void AnswerPending(const std::vector<wheathub::Action>& actions);
   // Returns false if the message was not accepted after all.
-  bool AcceptPending(const PendingMessage& pending);
+  bool AcceptPending(PendingMessage& pending);
   void EndUndelivered(const std::string& id, const journal::Ending& ending);
   void RecordAndNotify(const std::string& id, const journal::Ending& ending);
   void CountOutcome(const AttemptResult& result);
@@ -195,7 +204,7 @@
   // unlike hosts, are not replaced. They are never removed from this set, because a stale list may contain no
   // host of a destination whose hosts have all been replaced.
   std::set<wheathub::DestinationId> known_destinations_;
-  std::map<std::string, PendingMessage> pending_;  // submitted since the last step
+  std::map<std::string, PendingMessage> pending_;  // submitted and not answered yet
   std::map<std::string, HeldMessage> held_;
   std::map<AttemptId, AttemptState> in_flight_;
   bool sending_stopped_ = false;
