Cut off what a failed write leaves before the next record is written

Callers saw: a message that was answered +OK after the disk had been full was gone at the next restart.

Later records were written behind it, and a restart stops reading there and cuts off the rest.

Change: WriteAtEnd cuts off what its write has left, or does so before the next record if the cut fails as well.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -225,10 +225,22 @@
 
 // ---- the file ----
 
+bool Journal::CutOffIncompleteRecord() {
+  if (!ends_with_incomplete_record_) return true;
+  ends_with_incomplete_record_ = ftruncate(fd_, static_cast<off_t>(budget_.file_bytes())) != 0;
+  return !ends_with_incomplete_record_;
+}
+
+// If the disk is full, part of the record may have been written. It must be cut off before the next append.
 bool Journal::WriteAtEnd(const std::string& record) {
-  if (!WriteAll(fd_, record)) return false;
-  budget_.SetFileBytes(budget_.file_bytes() + record.size());
-  return true;
+  if (!CutOffIncompleteRecord()) return false;
+  if (WriteAll(fd_, record)) {
+    budget_.SetFileBytes(budget_.file_bytes() + record.size());
+    return true;
+  }
+  ends_with_incomplete_record_ = true;
+  CutOffIncompleteRecord();
+  return false;
 }
 
 bool Journal::Append(const std::string& record, std::size_t growth_bytes, Importance importance) {
@@ -239,8 +251,7 @@
   if (rewrite_failed && !fits) return false;
   if ((rewrite_failed || !fits) && importance == Importance::kNewPromise) return false;
   if (WriteAtEnd(record)) return true;
-  // If the disk is full, part of the record may have been written. It must be cut off before the next append.
-  if (ftruncate(fd_, static_cast<off_t>(budget_.file_bytes())) != 0) return false;
+  // A rewrite frees space on a full disk if much of the file is of closed messages.
   return budget_.CanRewrite() && Rewrite() && WriteAtEnd(record);
 }
 
@@ -272,7 +283,7 @@
     return false;
   }
   close(std::exchange(fd_, next_fd));
-
+  ends_with_incomplete_record_ = false;
   budget_.RecordRewrite(next_bytes);
   rewrites_ += 1;
   return true;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -109,7 +109,8 @@
   // adds to the reservations.
   bool Append(const std::string& record, std::size_t growth_bytes, Importance importance);
   bool WriteAtEnd(const std::string& record);
-
+  // Cuts off what a failed write has left after the last record.
+  bool CutOffIncompleteRecord();
   // Rewrites the file without closed messages. On failure it returns false and the old file stays in use.
   bool Rewrite();
   bool WriteOpenRecords(int fd, std::size_t* written);
@@ -125,7 +126,7 @@
   std::string path_, next_path_;
   FolderBudget budget_;
   int fd_ = -1;
-
+  bool ends_with_incomplete_record_ = false;
   std::size_t truncated_bytes_ = 0;
   std::uint64_t rewrites_ = 0;
   std::map<std::string, Entry> entries_;
--- a/tests/relay/folder_limit_test.cpp
+++ b/tests/relay/folder_limit_test.cpp
@@ -9,7 +9,6 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <optional>
 #include <thread>
 
 #include "handover/channel.hpp"
@@ -75,6 +74,15 @@
   return messages;
 }
 
+// Returns 20 large messages between 40 that the decision module rejects, 20 on each side, because the relay
+// may read connections in any order.
+std::vector<BurstMessage> TwentyAmongRejected() {
+  std::vector<BurstMessage> messages = MessagesOf("a", 20, kLargeBody, 0);
+  for (const BurstMessage& message : MessagesOf("m", 20, kLargeBody)) messages.push_back(message);
+  for (const BurstMessage& message : MessagesOf("z", 20, kLargeBody, 0)) messages.push_back(message);
+  return messages;
+}
+
 // Clients that each submit one message, all at the same moment.
 class Burst {
  public:
@@ -113,6 +121,10 @@
     return accepted;
   }
   int rejected() const { return rejected_; }
+  // Closes all connections with a TCP reset.
+  void Reset() {
+    for (Client& client : clients_) client.socket().Reset();
+  }
 
  private:
   std::vector<BurstMessage> messages_;
@@ -231,26 +243,35 @@
 TEST_CASE("messages that the decision module rejects take no room from others of the same burst") {
   FolderFixture fixture(3);
   fixture.relay.Start();
-  std::vector<BurstMessage> messages = MessagesOf("a", 40, kLargeBody, 0);
-  for (const BurstMessage& message : MessagesOf("m", 20, kLargeBody)) messages.push_back(message);
+  const std::vector<BurstMessage> messages = TwentyAmongRejected();
   CHECK(fixture.Submit(messages).size() == 20);
   Client client(fixture.relay);
   CHECK(client.Counters()["busy_by_module"] == 40);
   CHECK(client.Counters()["journal_pending_bytes"] == 0);
 }
 
-// Guards against a message that waits for room forever when the one that has reserved it is withdrawn.
+// Guards against a message that waits for room although those that have reserved it are withdrawn.
 TEST_CASE("a message that waits for room is answered when the clients before it disconnect") {
   FolderFixture fixture(0.25);
+  fixture.relay.config["settings"]["tick-s"] = 0.3;
   fixture.relay.Start();
-  std::optional<Burst> first(std::in_place, fixture.relay, MessagesOf("a", 2, 50 * 1024));
-  Burst second(fixture.relay, MessagesOf("m", 2, 50 * 1024));
+  // The relay may read connections in any order, so some of the clients that disconnect are on each side.
+  Burst before(fixture.relay, MessagesOf("a", 2, 50 * 1024));
+  Burst waiting(fixture.relay, MessagesOf("m", 2, 50 * 1024));
+  Burst after(fixture.relay, MessagesOf("b", 2, 50 * 1024));
+  // The next step follows a tick after the one that accepts this message.
+  Client client(fixture.relay);
+  client.Put("step", "hello", kDeadlineMs);
+  REQUIRE(client.ReadLine() == "+OK");
   fixture.relay.Suspend();
-  first->Complete();
-  second.Complete();
-  first.reset();
+  before.Complete();
+  waiting.Complete();
+  after.Complete();
   fixture.relay.Resume();
-  CHECK(second.ReadAnswers().size() == 2);
+  for (int i = 0; i < 3; ++i) REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  before.Reset();
+  after.Reset();
+  CHECK(waiting.ReadAnswers().size() == 2);
 }
 
 // Guards against clients whose messages wait for room while a handover begins and who get no answer.
@@ -259,8 +280,7 @@
   const Socket client_listener = Socket::Listen(511);
   fixture.relay.inherited_listener = &client_listener;
   fixture.relay.Start();
-  std::vector<BurstMessage> messages = MessagesOf("a", 40, kLargeBody, 0);
-  for (const BurstMessage& message : MessagesOf("m", 20, kLargeBody)) messages.push_back(message);
+  const std::vector<BurstMessage> messages = TwentyAmongRejected();
   Burst burst(fixture.relay, messages);
   auto channel = handover::Channel::Connect(fixture.relay.state());
   REQUIRE(channel);
@@ -336,4 +356,30 @@
   CHECK(fixture.Submit(MessagesOf("n", 5, kLargeBody)).size() == 5);
 }
 
+// Guards against records behind an incomplete one, which the next process does not read.
+TEST_CASE("a message accepted after a failed write is recovered") {
+  FolderFixture fixture(3);
+  fixture.relay.in_child = [] { signal(SIGXFSZ, SIG_IGN); };
+  fixture.relay.Start();
+  Client client(fixture.relay);
+  client.Put("before", std::string(kLargeBody, 'x'), kDeadlineMs);
+  REQUIRE(client.ReadLine() == "+OK");
+  fixture.stubs.NextCall();
+  const rlimit full{FolderBytes(fixture.relay.state()) + 30'000, RLIM_INFINITY};
+  REQUIRE(prlimit(fixture.relay.pid(), RLIMIT_FSIZE, &full, nullptr) == 0);
+  int rejected = 0;
+  CHECK(fixture.Submit(MessagesOf("refused", 5, kLargeBody), &rejected).empty());
+  CHECK(rejected == 5);
+  const rlimit unlimited{RLIM_INFINITY, RLIM_INFINITY};
+  REQUIRE(prlimit(fixture.relay.pid(), RLIMIT_FSIZE, &unlimited, nullptr) == 0);
+  client.Put("after", "hello", kDeadlineMs);
+  REQUIRE(client.ReadLine() == "+OK");
+  fixture.Kill();
+  fixture.relay.Start();
+  Client next(fixture.relay);
+  CHECK(next.Counters()["recovered"] == 2);
+  CHECK(next.Counters()["journal_cut_bytes"] == 0);
+  fixture.AwaitFinalAnswers({"before", "after"});
+}
+
 }  // namespace oxbowspread::testing
