Drop the body of a message that has ended and waits only for its notice

Callers saw: refusals while the platform accepted no notices, because messages that had ended kept the folder full.

A message that has ended is never sent again.

Change: an ending empties the body, so the reservation and the next rewritten file shrink.

The test that shows it: "messages that wait only for their notices leave the folder to others".

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -193,7 +193,13 @@
   budget_.Reserve(MaxEntryBytes(entry));
 }
 
-void Journal::SetEnding(Entry& entry, const Ending& ending) { entry.ending = ending; }
+// A message that has ended is not attempted again, so only its notice is still needed.
+void Journal::SetEnding(Entry& entry, const Ending& ending) {
+  Change(entry, [&](Entry& changed) {
+    changed.ending = ending;
+    changed.message.body = std::string();
+  });
+}
 
 void Journal::SetExcluded(const std::string& host, bool excluded) {
   if (excluded && excluded_hosts_.insert(host).second) budget_.Reserve(ExcludedHostBytes(host));
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -55,7 +55,7 @@
   Journal& operator=(const Journal&) = delete;
 
   // Returns all open messages by id: those that have not ended, and those whose notice is not accepted yet.
-
+  // The latter have no body any more.
   const std::map<std::string, Entry>& entries() const { return entries_; }
   // Returns null if no such message is open. The pointer is valid until the message is closed.
   const Entry* Find(const std::string& id) const;
--- a/tests/relay/folder_limit_test.cpp
+++ b/tests/relay/folder_limit_test.cpp
@@ -356,6 +356,24 @@
   CHECK(fixture.Submit(MessagesOf("n", 5, kLargeBody)).size() == 5);
 }
 
+// Guards against bodies that are kept after the end of their messages while the platform accepts no notices.
+TEST_CASE("messages that wait only for their notices leave the folder to others") {
+  FolderFixture fixture(1);
+  fixture.stubs.notice_status = 500;
+  fixture.relay.Start();
+  Client client(fixture.relay);
+  for (int i = 0; i < 6; ++i) {
+    client.Put("ended-" + std::to_string(i), std::string(kLargeBody, 'x'), 1000);
+    REQUIRE(client.ReadLine() == "+OK");
+  }
+  fixture.WaitForCounter(client, "undeliverable", 6);
+  CHECK(fixture.Submit(MessagesOf("m", 6, kLargeBody)).size() == 6);
+  fixture.Kill();
+  fixture.stubs.notice_status = 204;
+  fixture.relay.Start();
+  for (int i = 0; i < 6; ++i) fixture.stubs.WaitForNotice("ended-" + std::to_string(i));
+}
+
 // Guards against records behind an incomplete one, which the next process does not read.
 TEST_CASE("a message accepted after a failed write is recovered") {
   FolderFixture fixture(3);
