Compute a message's reservation without copying its body

Cause: RoomFor and Reserve copied the whole message to count its bytes. Each client that leaves while others wait for room made the relay copy the bodies of all of them, which grows with the square of a crowd that leaves at once.

Change: the size is counted on the message itself, and only the withdrawal of a message that holds a reservation looks at those that wait.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -218,15 +218,11 @@
 }
 
 FolderBudget::Room Journal::RoomFor(const Message& message) const {
-  Entry entry;
-  entry.message = message;
-  return budget_.RoomForMessage(MaxEntryBytes(entry));
+  return budget_.RoomForMessage(MaxEntryBytes(message));
 }
 
 Journal::Reservation Journal::Reserve(const Message& message) {
-  Entry entry;
-  entry.message = message;
-  return Reservation(budget_, MaxEntryBytes(entry));
+  return Reservation(budget_, MaxEntryBytes(message));
 }
 
 // ---- the file ----
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -59,9 +59,9 @@
   Output output_;
 };
 
+// `history` is an entry whose message is not used.
 template <typename Output>
-Output WriteAccepted(const Entry& entry) {
-  const Message& message = entry.message;
+Output WriteAccepted(const Message& message, const Entry& history) {
   PayloadWriter<Output> writer(RecordType::kAccepted);
   writer.Put(message.id)
       .Put(message.key)
@@ -69,9 +69,9 @@
       .Put(message.destination)
       .Put(message.deadline.count());
   writer.Put(static_cast<std::uint8_t>(message.resubmitted)).Put(message.body);
-  writer.Put(std::int32_t{entry.attempts - (entry.open_attempt ? 1 : 0)}).Put(entry.last_host);
-  writer.Put(static_cast<std::uint8_t>(entry.first_uncertain.has_value()))
-      .Put(entry.first_uncertain.value_or(Attempt()));
+  writer.Put(std::int32_t{history.attempts - (history.open_attempt ? 1 : 0)}).Put(history.last_host);
+  writer.Put(static_cast<std::uint8_t>(history.first_uncertain.has_value()))
+      .Put(history.first_uncertain.value_or(Attempt()));
   if (message.class_settings) writer.Put(*message.class_settings);
   return writer.output();
 }
@@ -105,9 +105,26 @@
   return record += payload;
 }
 
+// Returns the most bytes that the records of a message with that history can take in a rewritten file.
+std::size_t MaxRecordBytes(const Message& message, const Entry& history, std::size_t host_bytes) {
+  const std::size_t last_host_bytes = history.last_host.size();
+  const std::size_t uncertain_host_bytes = history.first_uncertain ? history.first_uncertain->host.size() : 0;
+  const std::size_t open_host_bytes = history.open_attempt ? history.open_attempt->host.size() : 0;
+  const std::size_t max_host_bytes =
+      std::max({kReservedHostBytes, host_bytes, last_host_bytes, uncertain_host_bytes, open_host_bytes});
+  const std::size_t accepted_bytes = WriteAccepted<ByteCounter>(message, history).bytes() - last_host_bytes -
+                                     uncertain_host_bytes + 2 * max_host_bytes;
+  const std::size_t begun_bytes =
+      WriteAttemptBegun<ByteCounter>(message.id, Attempt()).bytes() + max_host_bytes;
+  const std::size_t ended_bytes = WriteEnded<ByteCounter>(message.id, Ending()).bytes();
+  return 3 * kHeaderBytes + accepted_bytes + begun_bytes + ended_bytes;
+}
+
 }  // namespace
 
-std::string EncodeAccepted(const Entry& entry) { return WithHeader(WriteAccepted<std::string>(entry)); }
+std::string EncodeAccepted(const Entry& entry) {
+  return WithHeader(WriteAccepted<std::string>(entry.message, entry));
+}
 
 std::string EncodeAttemptBegun(const std::string& id, const Attempt& attempt) {
   return WithHeader(WriteAttemptBegun<std::string>(id, attempt));
@@ -143,19 +160,11 @@
 }
 
 std::size_t MaxEntryBytes(const Entry& entry, std::size_t host_bytes) {
-  const std::size_t last_host_bytes = entry.last_host.size();
-  const std::size_t uncertain_host_bytes = entry.first_uncertain ? entry.first_uncertain->host.size() : 0;
-  const std::size_t open_host_bytes = entry.open_attempt ? entry.open_attempt->host.size() : 0;
-  const std::size_t max_host_bytes =
-      std::max({kReservedHostBytes, host_bytes, last_host_bytes, uncertain_host_bytes, open_host_bytes});
-  const std::size_t accepted_bytes =
-      WriteAccepted<ByteCounter>(entry).bytes() - last_host_bytes - uncertain_host_bytes + 2 * max_host_bytes;
-  const std::size_t begun_bytes =
-      WriteAttemptBegun<ByteCounter>(entry.message.id, Attempt()).bytes() + max_host_bytes;
-  const std::size_t ended_bytes = WriteEnded<ByteCounter>(entry.message.id, Ending()).bytes();
-  return 3 * kHeaderBytes + accepted_bytes + begun_bytes + ended_bytes;
+  return MaxRecordBytes(entry.message, entry, host_bytes);
 }
 
+std::size_t MaxEntryBytes(const Message& message) { return MaxRecordBytes(message, Entry(), 0); }
+
 std::optional<std::string_view> FirstPayload(std::string_view bytes, std::size_t* record_bytes) {
   if (bytes.size() < kHeaderBytes) return std::nullopt;
   std::uint32_t header[2];
--- a/src/journal/records.hpp
+++ b/src/journal/records.hpp
@@ -46,6 +46,8 @@
 // attempts and ending follow, as long as no host has a longer name than `host_bytes`, the hosts of the
 // entry or kReservedHostBytes.
 std::size_t MaxEntryBytes(const Entry& entry, std::size_t host_bytes = 0);
+// The same for a message without any attempt.
+std::size_t MaxEntryBytes(const Message& message);
 inline constexpr std::size_t kReservedHostBytes = 32;
 
 // Returns the payload of the record at the start of `bytes`, and nothing if that record is incomplete or
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -246,8 +246,10 @@
       const auto* message = std::get_if<wheathub::Message>(&event);
       return message != nullptr && message->id == it->first;
     });
+    const bool had_reservation = it->second.reservation.has_value();
     pending_.erase(it);
-    return AdmitWaiting();
+    if (had_reservation) AdmitWaiting();
+    return;
   }
 }
 
