Build race_test on arm64 by naming the system calls of both architectures

Cause: three tests compare with SYS_epoll_wait, SYS_poll and SYS_rename, which x86-64 alone has. arm64 has SYS_epoll_pwait, SYS_ppoll and SYS_renameat.

--- a/tests/relay/folder_limit_test.cpp
+++ b/tests/relay/folder_limit_test.cpp
@@ -318,7 +318,7 @@
       const bool is_next = tracer.FileOf(call.fd).ends_with("/journal.next");
       if (step == std::string("open")) return call.number == SYS_openat && call.done && is_next;
       if (step == std::string("write")) return call.number == SYS_write && call.done && is_next;
-      return call.number == SYS_rename && call.done == (step != std::string("before the rename"));
+      return call.RenamesFile() && call.done == (step != std::string("before the rename"));
     });
     if (step == std::string("record")) tracer.RunUntilJournalWrites(3);
     fixture.relay.Signal(SIGKILL);
--- a/tests/relay/list_deadline_test.cpp
+++ b/tests/relay/list_deadline_test.cpp
@@ -187,7 +187,7 @@
   long next_call = -1;
   tracer.RunUntil([&next_call](const Tracer::Call& system_call) {
     next_call = system_call.number;
-    return next_call == SYS_sendto || next_call == SYS_epoll_wait || next_call == SYS_poll;
+    return next_call == SYS_sendto || system_call.WaitsForEvents();
   });
   CHECK(next_call == SYS_sendto);
   tracer.Detach();
--- a/tests/relay/tracer.cpp
+++ b/tests/relay/tracer.cpp
@@ -8,11 +8,44 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
 
 namespace oxbowspread::testing {
+namespace {
+
+constexpr long kEpollWaits[] = {
+    SYS_epoll_pwait,
+#ifdef SYS_epoll_pwait2
+    SYS_epoll_pwait2,
+#endif
+#ifdef SYS_epoll_wait
+    SYS_epoll_wait,
+#endif
+};
+constexpr long kPolls[] = {
+    SYS_ppoll,
+#ifdef SYS_poll
+    SYS_poll,
+#endif
+};
+constexpr long kRenames[] = {
+    SYS_renameat2,
+#ifdef SYS_renameat
+    SYS_renameat,
+#endif
+#ifdef SYS_rename
+    SYS_rename,
+#endif
+};
+
+}  // namespace
+
+bool Tracer::Call::WaitsInEpoll() const { return std::ranges::count(kEpollWaits, number) > 0; }
+bool Tracer::Call::WaitsForEvents() const { return WaitsInEpoll() || std::ranges::count(kPolls, number) > 0; }
+bool Tracer::Call::RenamesFile() const { return std::ranges::count(kRenames, number) > 0; }
 
 Tracer::Tracer(StubServices& stubs, pid_t pid) : stubs_(stubs), pid_(pid) {
   REQUIRE(ptrace(PTRACE_SEIZE, pid_, nullptr, PTRACE_O_TRACESYSGOOD) == 0);
@@ -73,13 +106,7 @@
 }
 
 void Tracer::RunUntilWaiting(const std::function<bool()>& condition) {
-  RunUntil([&](const Call& call) {
-    bool is_epoll_wait = call.number == SYS_epoll_pwait;
-#ifdef SYS_epoll_wait
-    is_epoll_wait = is_epoll_wait || call.number == SYS_epoll_wait;
-#endif
-    return is_epoll_wait && !call.done && condition();
-  });
+  RunUntil([&](const Call& call) { return call.WaitsInEpoll() && !call.done && condition(); });
 }
 
 void Tracer::Detach() {
--- a/tests/relay/tracer.hpp
+++ b/tests/relay/tracer.hpp
@@ -18,6 +18,11 @@
     int fd = -1;  // the first argument; for a completed openat, the new descriptor
     bool done = false;
     long result = 0;
+
+    // Each architecture has other system calls for the same purpose. WaitsForEvents includes WaitsInEpoll.
+    bool WaitsInEpoll() const;
+    bool WaitsForEvents() const;
+    bool RenamesFile() const;
   };
 
   // Attaches to the process and stops it until the first RunUntil. `stubs` is served during all waits.
