Keep the commands of all clients within a share of the memory, in an upgrade too

Cause: limits.memory_mb was read and used nowhere. The parser kept up to 68 KiB for each client in strings that grow by doubling, each connection had a buffer of 32 KiB beside it, and nothing bounded the sum. In an upgrade both processes held all of it, and the old one two more copies in the packets that it prepared before it sent the first.

Change: client::ReceiveBudget (no I/O) bounds all commands that are incomplete or not answered to a sixteenth of the memory. A command of over 2 KiB reserves its length before it is read; one that finds no room stays in the kernel's buffer, and is read when there is room or all of its bytes have arrived, for which 8 commands have room of their own. So nobody is turned away for it. Strings are reserved at their length, buffers are 4 KiB, blocks of 32 KiB and more return to the system when freed. An offer's packets are made one at a time.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -1,5 +1,6 @@
 // The program oxbowspread: one relay process. Creates and connects the components, and runs them through the
 // phases from start to exit.
+#include <malloc.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -41,6 +42,8 @@
 using relay::kPollInterval;
 using relay::kStopSendingAfter;
 constexpr net::Time kPausedCheckInterval = 100ms;
+// Blocks of this size, such as large bodies, are returned to the system as soon as they are freed.
+constexpr int kMmapThresholdBytes = 32 * 1024;
 // A new process must be ready 6 s after its start, and the old process may need some time before it can hand
 // over.
 constexpr handover::Timeout kTakeoverTimeout = 5s;
@@ -163,6 +166,13 @@
             separate_routes};
   }
 
+  // Each transferred state is freed as soon as its client holds it, so that both exist for one client only.
+  void RestoreClients() {
+    for (client::ClientState& client : startup_state_.clients)
+      clients_->RestoreClient(std::exchange(client, {}));
+    std::vector<client::ClientState>().swap(startup_state_.clients);
+  }
+
   void OnPhase(Phase phase) {
     // Other processes connect once the log contains "serving", so kServing is logged below, after the
     // listener is open.
@@ -201,10 +211,11 @@
         if (clients_) {
           clients_->StartListening();
         } else {
-          clients_.emplace(loop_, RequireAddress("listen", config_.listen), config_.listen_fd,
-                           config_.max_clients(), relay_, counters_, [this] { return CountersText(); });
-          for (const client::ClientState& client : startup_state_.clients) clients_->RestoreClient(client);
-          startup_state_.clients.clear();
+          clients_.emplace(
+              loop_, RequireAddress("listen", config_.listen), config_.listen_fd,
+              client::ClientServer::Limits{config_.max_clients(), config_.client_receive_bytes()}, relay_,
+              counters_, [this] { return CountersText(); });
+          RestoreClients();
           if (config_.listen_fd >= 0) OfferHandover();
         }
         std::cout << config_.name << ": " << relay::NameOf(phase) << std::endl;
@@ -295,7 +306,7 @@
     handover_state.list_valid_until = discovery_.list_valid_until();
     return handover_state;
   }
-  std::vector<client::ClientState> Clients() const override { return clients_->ExportState(); }
+  std::vector<const client::Client*> Clients() const override { return clients_->OpenClients(); }
   int LockFd() const override { return startup_state_.folder_lock->fd(); }
   void CompleteHandover() override {
     relay_.CompleteHandover([this](const std::string& id, const relay::AttemptResult& result) {
@@ -544,6 +555,7 @@
   app.set_version_flag("--version", std::string("oxbowspread " OXBOWSPREAD_VERSION));
   if (const auto code = apps::Parse(app, "oxbowspread", argc, argv)) return *code;
   if (!file_to_check.empty()) return CheckConfig(file_to_check);
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   std::signal(SIGPIPE, SIG_IGN);
   // Signals for a reload or a report that arrive during the start stay pending until the process is ready for
   // them.
--- a/src/client/client_server.cpp
+++ b/src/client/client_server.cpp
@@ -31,7 +31,11 @@
 constexpr net::Time kReceiveProgressTimeout = 700ms;
 // Commands are consumed from the buffer as they arrive, so the buffer can be small: hundreds of clients share
 // the memory limit.
-constexpr std::size_t kReceiveBufferBytes = 32 * 1024;
+constexpr std::size_t kReceiveBufferBytes = 4 * 1024;
+// Commands whose arguments have up to this many bytes in total need no room in the budget.
+constexpr std::size_t kSmallCommandBytes = 2 * 1024;
+// While clients wait for room, the relay checks at this interval whether their commands have arrived.
+constexpr net::Time kRoomCheckInterval = 10ms;
 
 bool IsCommand(const std::string& word, const char* name) { return strcasecmp(word.c_str(), name) == 0; }
 
@@ -43,6 +47,7 @@
     : loop_(loop),
       server_(server),
       connection_(loop, fd, *this, kReceiveBufferBytes),
+      parser_(kSmallCommandBytes),
       timer_(loop, [this] { OnTimeout(); }),
       resume_timer_(loop, [this] { ResumeReading(); }),
       idle_since_(net::Loop::Now()) {
@@ -53,6 +58,7 @@
   last_received_at_ = net::Loop::Now();
   if (!has_unread_) earliest_arrival_ = loop_.earliest_arrival();
   while (!awaiting_answer_ && !disconnecting_ && !received.empty() && connection_.connected()) {
+    if (parser_.blocked() && !ReserveForCommand()) break;
     received.Consume(parser_.Feed(received.Front()));
     if (parser_.state() == proto::RespParser::State::kInvalid) {
       server_.counters_.malformed += 1;
@@ -67,6 +73,36 @@
   if (server_.closing_ && idle()) resume_timer_.After(net::Time(0));
 }
 
+bool Client::is_command_complete() const {
+  const std::optional<std::size_t> missing_bytes = parser_.missing_bytes();
+  return missing_bytes && connection_.buffered_bytes() + connection_.unread_bytes() >= *missing_bytes;
+}
+
+bool Client::ReserveForCommand() {
+  const std::size_t additional_bytes = parser_.command_bytes() - reserved_bytes_;
+  const auto arrival =
+      is_command_complete() ? ReceiveBudget::Arrival::kComplete : ReceiveBudget::Arrival::kPartial;
+  if (!server_.receive_budget_.TryReserve(additional_bytes, arrival)) {
+    if (!std::exchange(awaiting_room_, true)) server_.AwaitRoom(*this);
+    return false;
+  }
+  reserved_bytes_ += additional_bytes;
+  parser_.Allow(parser_.command_bytes());
+  if (std::exchange(awaiting_room_, false)) server_.StopAwaitingRoom(*this);
+  return true;
+}
+
+void Client::RetryReserve() {
+  const std::size_t unread_bytes = connection_.unread_bytes();
+  if (unread_bytes > std::exchange(arrived_unread_bytes_, unread_bytes)) last_received_at_ = net::Loop::Now();
+  connection_.Resume();
+}
+
+void Client::ReleaseReservation() {
+  if (std::exchange(awaiting_room_, false)) server_.StopAwaitingRoom(*this);
+  if (reserved_bytes_ > 0) server_.ReleaseRoom(std::exchange(reserved_bytes_, 0));
+}
+
 // Starts the timer with the timeout for an incomplete command or for an idle connection.
 void Client::ArmTimer() {
   const bool is_idle = idle() && has_requested_;
@@ -75,12 +111,13 @@
   timer_.After(is_idle ? kIdleTimeout : kCommandTimeout);
 }
 
-void Client::HandleCommand(const std::vector<std::string>& command) {
+void Client::HandleCommand(std::vector<std::string> command) {
   has_requested_ = true;
   idle_timer_running_ = false;
   timer_.Stop();
   idle_since_ = net::Loop::Now();
-  if (IsCommand(command[0], "MSG.PUT")) return HandlePut(command);
+  if (IsCommand(command[0], "MSG.PUT")) return HandlePut(std::move(command));
+  ReleaseReservation();
   if (IsCommand(command[0], "PING")) {
     Reply(command.size() > 1 ? proto::RespBulk(command[1]) : "+PONG\r\n");
   } else if (IsCommand(command[0], "INFO")) {
@@ -135,6 +172,7 @@
 
 void Client::OnAnswered() {
   awaiting_answer_ = false;
+  ReleaseReservation();
   idle_since_ = server_.idle_since_ = net::Loop::Now();
   resume_timer_.After(net::Time(0));
   ArmTimer();
@@ -190,18 +228,35 @@
 void Client::RestoreState(const ClientState& state) {
   has_requested_ = state.has_requested;
   has_unread_ = !state.unread.empty();
-  parser_.Feed(state.partial_command);
+  RestorePartialCommand(state.partial_command);
   connection_.Restore(state.unread, state.unsent);
   resume_timer_.After(net::Time(0));
   ArmTimer();
 }
 
+void Client::RestorePartialCommand(std::string_view bytes) {
+  bytes.remove_prefix(parser_.Feed(bytes));
+  while (parser_.blocked() && !bytes.empty()) {
+    server_.receive_budget_.Reserve(parser_.command_bytes() - reserved_bytes_);
+    reserved_bytes_ = parser_.command_bytes();
+    parser_.Allow(reserved_bytes_);
+    bytes.remove_prefix(parser_.Feed(bytes));
+  }
+}
+
+void Client::Close() {
+  ReleaseReservation();
+  connection_.Close();
+}
+
 void Client::OnClosed() { Disconnect(); }
 
 void Client::Disconnect() {
   if (std::exchange(awaiting_answer_, false)) server_.relay_.Withdraw(*this);
   timer_.Stop();
   resume_timer_.Stop();
+  parser_ = proto::RespParser(kSmallCommandBytes);  // frees an incomplete command
+  ReleaseReservation();
   if (!disconnecting_ && connection_.ShutdownSending()) {
     disconnecting_ = true;
     return timer_.After(kLinger);
@@ -213,24 +268,26 @@
 // ---- all clients ----
 
 ClientServer::ClientServer(net::Loop& loop, const net::Address& address, int inherited_fd,
-                           std::size_t max_clients, relay::Relay& relay, relay::Counters& counters,
+                           const Limits& limits, relay::Relay& relay, relay::Counters& counters,
                            Report report)
     : loop_(loop),
       address_(address),
       inherited_fd_(inherited_fd),
-      max_clients_(max_clients),
+      max_clients_(limits.max_clients),
+      receive_budget_(limits.receive_bytes),
+      room_timer_(loop, [this] { ServeAwaitingRoom(); }),
       relay_(relay),
       counters_(counters),
       report_(std::move(report)) {
   StartListening();
 }
 
-std::vector<ClientState> ClientServer::ExportState() const {
-  std::vector<ClientState> all;
+std::vector<const Client*> ClientServer::OpenClients() const {
+  std::vector<const Client*> open_clients;
   for (const auto& [client, owned] : clients_) {
-    if (client->open()) all.push_back(client->ExportState());
+    if (client->open()) open_clients.push_back(client);
   }
-  return all;
+  return open_clients;
 }
 
 void ClientServer::RestoreClient(const ClientState& state) {
@@ -284,6 +341,26 @@
   return true;
 }
 
+void ClientServer::AwaitRoom(Client& client) {
+  awaiting_room_.push_back(&client);
+  if (!room_timer_.active()) room_timer_.After(kRoomCheckInterval);
+}
+
+void ClientServer::StopAwaitingRoom(Client& client) { std::erase(awaiting_room_, &client); }
+
+void ClientServer::ReleaseRoom(std::size_t bytes) {
+  receive_budget_.Release(bytes);
+  if (!awaiting_room_.empty()) room_timer_.After(net::Time(0));
+}
+
+void ClientServer::ServeAwaitingRoom() {
+  // A client that continues may answer or close, which changes the list.
+  for (Client* const client : std::vector<Client*>(awaiting_room_)) {
+    if (std::ranges::count(awaiting_room_, client) > 0) client->RetryReserve();
+  }
+  if (!awaiting_room_.empty() && !room_timer_.active()) room_timer_.After(kRoomCheckInterval);
+}
+
 void ClientServer::Remove(Client& client) {
   const auto it = clients_.find(&client);
   if (it == clients_.end()) return;
--- a/src/client/client_server.hpp
+++ b/src/client/client_server.hpp
@@ -6,8 +6,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "client/receive_budget.hpp"
 #include "net/connection.hpp"
 #include "proto/resp.hpp"
 #include "relay/counters.hpp"
@@ -43,9 +45,12 @@
   // Time since which the connection has had that priority. Among equal priorities the earliest is closed
   // first.
   net::Time priority_since() const { return idle() ? idle_since_ : last_received_at_; }
-  // Returns whether all bytes that have arrived were read.
-  bool all_read() const { return connection_.IsIdle(); }
-  void Close() { connection_.Close(); }
+  // Returns whether no bytes of a command have arrived that will be read without further ones. A command for
+  // which there is no room is only read once it is complete, or there is room.
+  bool all_read() const { return connection_.IsIdle() || (awaiting_room_ && !is_command_complete()); }
+  // Continues with the command for which there was no room, if there is room now.
+  void RetryReserve();
+  void Close();
   // Closes the connection if it is idle and no bytes are unread. Otherwise it is closed after the commands
   // that have arrived were answered.
   void CloseWhenIdle();
@@ -58,7 +63,7 @@
   void OnClosed() override;
   // Returns the maximum time that the current command may have waited before it was read.
   net::Time TimeUnread() const;
-  void HandleCommand(const std::vector<std::string>& command);
+  void HandleCommand(std::vector<std::string> command);
   void HandlePut(std::vector<std::string> command);
   // Returns false if the answer can't be sent; the connection is then closed by the timer.
   bool Reply(const std::string& text);
@@ -70,6 +75,14 @@
   void OnAnswered();
   void ResumeReading();
   void ArmTimer();
+  // Reserves room for the current command, which is larger than the parser allows. If there is none, the
+  // client waits for room, and its connection is not read further than its buffer.
+  bool ReserveForCommand();
+  void ReleaseReservation();
+  // Reserves room for an incomplete command of another process, which has granted it, and parses it.
+  void RestorePartialCommand(std::string_view bytes);
+  // Returns whether all missing bytes of the current command are known to have arrived.
+  bool is_command_complete() const;
 
   net::Loop& loop_;
   ClientServer& server_;
@@ -87,6 +100,10 @@
   // not transfer it.
   net::Time earliest_arrival_{0};
   bool has_unread_ = false;  // bytes of an earlier read are still in the buffer
+  // Room in the server's budget for the current command, until it is answered.
+  std::size_t reserved_bytes_ = 0;
+  bool awaiting_room_ = false;
+  std::size_t arrived_unread_bytes_ = 0;  // in the kernel's buffer, when it was last looked at
 };
 
 // Accepts client connections and owns them.
@@ -94,14 +111,18 @@
  public:
   // Produces the answer to INFO.
   using Report = std::function<std::string()>;
+  struct Limits {
+    std::size_t max_clients;    // connections
+    std::size_t receive_bytes;  // for commands that are incomplete or not answered yet; see ReceiveBudget
+  };
 
   // Starts listening. If `inherited_fd` is not negative, it is used as the listening socket, which another
-  // process has bound and owns. `max_clients` limits the connections. Throws std::system_error.
-  ClientServer(net::Loop& loop, const net::Address& address, int inherited_fd, std::size_t max_clients,
+  // process has bound and owns. Throws std::system_error.
+  ClientServer(net::Loop& loop, const net::Address& address, int inherited_fd, const Limits& limits,
                relay::Relay& relay, relay::Counters& counters, Report report);
-  // Returns the state of all clients for transfer to another process. Relay::PrepareHandover must be called
-  // first, so that no client waits for an answer.
-  std::vector<ClientState> ExportState() const;
+  // Returns the open clients, whose state is to be transferred to another process. Relay::PrepareHandover
+  // must be called first, so that no client waits for an answer. Valid until a client is served.
+  std::vector<const Client*> OpenClients() const;
   // Adds a client transferred from another process. Takes ownership of its descriptor.
   void RestoreClient(const ClientState& state);
   // Accepts no new clients; connected clients are still served.
@@ -121,11 +142,19 @@
   void Remove(Client& client);
   // Closes one client of that priority or a lower one. Returns false if there is none.
   bool EvictClient(Client::RetentionPriority highest);
+  // Adds a client to those that wait for room in the budget, and removes it.
+  void AwaitRoom(Client& client);
+  void StopAwaitingRoom(Client& client);
+  void ReleaseRoom(std::size_t bytes);
+  void ServeAwaitingRoom();
 
   net::Loop& loop_;
   net::Address address_;
   int inherited_fd_;
   std::size_t max_clients_;
+  ReceiveBudget receive_budget_;
+  std::vector<Client*> awaiting_room_;  // in the order in which they began to wait
+  net::Timer room_timer_;
   relay::Relay& relay_;
   relay::Counters& counters_;
   Report report_;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -41,6 +41,7 @@
   // the process of closing, so the share of clients is two fifths. The share of endpoint connections is one
   // half. kReservedDescriptors and the remainder are for the journal, the event loop, discovery, notices and
   // a reserve.
+  static constexpr std::size_t kBytesPerMb = 1'000'000;
   static constexpr std::size_t kReservedDescriptors = 16;
   static constexpr std::size_t kManagementDescriptors = 18;  // reserved if `mgmt` is set
   std::size_t shareable_descriptors() const {
@@ -48,6 +49,9 @@
   }
   std::size_t max_clients() const { return shareable_descriptors() * 2 / 5; }
   std::size_t max_endpoint_connections() const { return shareable_descriptors() / 2; }
+  // Share of the memory for commands of clients that are incomplete or not answered yet. During a handover
+  // two processes hold them, and share the limit.
+  std::size_t client_receive_bytes() const { return memory_mb * kBytesPerMb / 16; }
 };
 
 // Reads the file that $ROUTER_CONFIG names. The other $ROUTER_ variables override values of the file. Lowers
--- a/src/handover/handover_receiver.cpp
+++ b/src/handover/handover_receiver.cpp
@@ -34,7 +34,7 @@
   if (offered->clients != clients_.size())
     return Refuse("the number of transferred clients does not match the offer");
   try {
-    state_ = FromChunks(state_bytes_);
+    state_ = FromChunks(std::exchange(state_bytes_, {}));
   } catch (const std::invalid_argument& e) {
     return Refuse(std::string("the handover state can't be parsed: ") + e.what());
   }
--- a/src/handover/handover_receiver.hpp
+++ b/src/handover/handover_receiver.hpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "handover/packets.hpp"
@@ -31,6 +32,7 @@
   // clients and of the lock in any phase.
   const relay::HandoverState& state() const { return state_; }
   const std::vector<client::ClientState>& client_states() const { return clients_; }
+  std::vector<client::ClientState> TakeClientStates() { return std::move(clients_); }
   int lock_fd() const { return lock_fd_; }
 
  private:
--- a/src/handover/handover_sender.cpp
+++ b/src/handover/handover_sender.cpp
@@ -13,7 +13,8 @@
                -1}};
     }
     if (const auto reason = owner_.RefusalReason()) return {{Refusal{*reason}, -1}};
-    return Offer();
+    StartOffer();
+    return {};
   }
   if (std::holds_alternative<OfferAccepted>(packet) && phase_ == Phase::kOffered) {
     phase_ = Phase::kCompleted;
@@ -30,18 +31,31 @@
   return {};
 }
 
-std::vector<Outgoing> HandoverSender::Offer() {
+void HandoverSender::StartOffer() {
   phase_ = Phase::kOffered;
-  const relay::HandoverState state = owner_.PrepareHandover();
-  std::vector<Outgoing> outgoing;
-  for (StateChunk& chunk : ToChunks(state)) outgoing.push_back({std::move(chunk), -1});
-  const std::vector<client::ClientState> clients = owner_.Clients();
-  for (const client::ClientState& client : clients) outgoing.push_back({ClientTransfer{client}, client.fd});
-  outgoing.push_back({OfferComplete{clients.size()}, owner_.LockFd()});
-  return outgoing;
+  const std::vector<StateChunk> chunks = ToChunks(owner_.PrepareHandover());
+  offer_ = Offer{{chunks.begin(), chunks.end()}, owner_.Clients(), 0};
+}
+
+std::optional<Outgoing> HandoverSender::NextOfOffer() {
+  if (!offer_) return std::nullopt;
+  if (!offer_->chunks.empty()) {
+    Outgoing next{std::move(offer_->chunks.front()), -1};
+    offer_->chunks.pop_front();
+    return next;
+  }
+  if (offer_->sent_clients < offer_->clients.size()) {
+    client::ClientState state = offer_->clients[offer_->sent_clients++]->ExportState();
+    const int fd = state.fd;
+    return Outgoing{ClientTransfer{std::move(state)}, fd};
+  }
+  const std::size_t client_count = offer_->clients.size();
+  offer_.reset();
+  return Outgoing{OfferComplete{client_count}, owner_.LockFd()};
 }
 
 void HandoverSender::OnChannelClosed() {
+  offer_.reset();
   if (phase_ == Phase::kOffered) phase_ = Phase::kIdle;
   if (phase_ == Phase::kCompleted) owner_.OnReceiverLost();
 }
--- a/src/handover/handover_sender.hpp
+++ b/src/handover/handover_sender.hpp
@@ -2,6 +2,7 @@
 // packets to send, and calls its owner when the ownership of the state ends.
 #pragma once
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,7 +30,7 @@
     // be able to continue to serve.
     virtual relay::HandoverState PrepareHandover() = 0;
     // Returns the connected clients. Their descriptors stay owned by the process.
-    virtual std::vector<client::ClientState> Clients() const = 0;
+    virtual std::vector<const client::Client*> Clients() const = 0;
     // Returns the descriptor of the lock of the state folder. It stays owned by the process.
     virtual int LockFd() const = 0;
     // Called when the receiver has accepted the offer: it now owns everything except the attempts in flight.
@@ -51,15 +52,27 @@
 
   // Processes a packet and returns the packets to send, in order. Unexpected packets are ignored.
   std::vector<Outgoing> Feed(const Packet& packet);
+  // Returns the next packet of an offer, to be sent after those that Feed returned. Returns nothing if there
+  // is none. A packet holds a copy of a part of the state, so that only one copy exists at a time. No client
+  // may be served before all packets of the offer were returned or the channel was closed.
+  std::optional<Outgoing> NextOfOffer();
   // Must be called when the channel has ended or timed out. Withdraws an offer that was not accepted.
   void OnChannelClosed();
   Phase phase() const { return phase_; }
 
  private:
-  std::vector<Outgoing> Offer();
+  // The parts of an offer that are still to be sent.
+  struct Offer {
+    std::deque<StateChunk> chunks;
+    std::vector<const client::Client*> clients;
+    std::size_t sent_clients = 0;
+  };
+
+  void StartOffer();
 
   Owner& owner_;
   Phase phase_ = Phase::kIdle;
+  std::optional<Offer> offer_;
 };
 
 }  // namespace oxbowspread::handover
--- a/src/handover/handover_server.cpp
+++ b/src/handover/handover_server.cpp
@@ -40,6 +40,9 @@
   for (const Outgoing& next : outgoing) {
     if (!channel_->Send(next.packet, next.fd)) return CloseChannel();
   }
+  while (const std::optional<Outgoing> next = sender_.NextOfOffer()) {
+    if (!channel_->Send(next->packet, next->fd)) return CloseChannel();
+  }
   if (sender_.phase() == HandoverSender::Phase::kOffered) {
     // Nothing else may be processed here until the receiver has accepted the offer or failed to.
     const auto answer = channel_->Receive(kOfferTimeout);
--- a/src/handover/new_process.cpp
+++ b/src/handover/new_process.cpp
@@ -42,7 +42,7 @@
     return std::nullopt;
   }
   return StartupState{std::make_unique<journal::FolderLock>(receiver.lock_fd()), std::move(channel),
-                      receiver.state(), receiver.client_states()};
+                      receiver.state(), receiver.TakeClientStates()};
 }
 
 }  // namespace
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -213,6 +214,11 @@
   return fd_ >= 0 && !broken_ && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && IsTransient(errno);
 }
 
+std::size_t Connection::unread_bytes() const {
+  int count = 0;
+  return fd_ >= 0 && ioctl(fd_, FIONREAD, &count) == 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 bool Connection::ClosedByPeer() const {
   char byte = 0;
   if (fd_ < 0 || broken_) return true;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -61,6 +61,10 @@
   // Returns whether the connection is open and the kernel has neither unread bytes nor an end of stream for
   // it.
   bool IsIdle() const;
+  // Number of received bytes that the handler has not consumed, and of bytes in the kernel that were not
+  // read.
+  std::size_t buffered_bytes() const { return in_.size(); }
+  std::size_t unread_bytes() const;
   // Returns whether the peer has closed the connection, even if the loop has not reported that yet.
   bool ClosedByPeer() const;
   void Close();
--- a/src/proto/resp.cpp
+++ b/src/proto/resp.cpp
@@ -7,13 +7,15 @@
 namespace oxbowspread::proto {
 namespace {
 constexpr std::size_t kMaxLineBytes = 24;  // of a line with a count or a length
+constexpr std::string_view kLineEnd = "\r\n";
 }  // namespace
 
 std::size_t RespParser::Feed(std::string_view bytes) {
   std::size_t consumed = 0;
-  while (consumed < bytes.size() && state_ == State::kIncomplete) {
+  while (consumed < bytes.size() && state_ == State::kIncomplete && !blocked()) {
     if (step_ == Step::kBulkBytes) {
       std::string& argument = command_.back();
+      argument.reserve(argument_length_);  // growing by doubling would take up to twice as much
       const std::size_t count = std::min(argument_length_ - argument.size(), bytes.size() - consumed);
       argument.append(bytes.substr(consumed, count));
       consumed += count;
@@ -66,6 +68,12 @@
   return error_code == std::errc() && parsed_end == end && value >= 0 && value <= max_value ? value : -1;
 }
 
+std::optional<std::size_t> RespParser::missing_bytes() const {
+  const bool argument_has_begun = step_ == Step::kBulkBytes || step_ == Step::kBulkEnd;
+  if (!argument_has_begun || command_.size() < argument_count_) return std::nullopt;
+  return argument_length_ - command_.back().size() + kLineEnd.size() - line_.size();
+}
+
 void RespParser::Fail(const char* error) {
   state_ = State::kInvalid;
   error_ = error;
@@ -89,6 +97,8 @@
 
 std::vector<std::string> RespParser::TakeCommand() {
   state_ = State::kIncomplete;
+  command_bytes_ = 0;
+  allowed_bytes_ = freely_allowed_bytes_;
   return std::exchange(command_, {});
 }
 
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -421,10 +421,10 @@
   setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
   setenv("ROUTER_STATE", state_.c_str(), 1);
   for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
-  std::vector<char*> words{const_cast<char*>(OXBOWSPREAD)};
+  std::vector<char*> words{program.data()};
   for (std::string& argument : arguments) words.push_back(argument.data());
   words.push_back(nullptr);
-  execv(OXBOWSPREAD, words.data());
+  execv(program.c_str(), words.data());
   _exit(127);
 }
 
--- a/tests/relay/relay_harness.hpp
+++ b/tests/relay/relay_harness.hpp
@@ -170,6 +170,7 @@
   RelayProcess(const RelayProcess&) = delete;
   RelayProcess& operator=(const RelayProcess&) = delete;
 
+  std::string program = OXBOWSPREAD;
   nlohmann::json config;  // written to the configuration file by Spawn
   std::map<std::string, std::string> environment;
   std::vector<std::string> arguments;
