Keep only the header fields that are used of an endpoint's response

Cause: the parser kept each field of a head, up to 80 KiB, as an entry of a map, about 1 MB for 13,000 fields, in each connection. Change: the parser keeps the fields that its user names, two for endpoints and none for discovery and notices, and at most 64 and 256 bytes of a name and a value.

--- a/src/endpoint/endpoint_connection.cpp
+++ b/src/endpoint/endpoint_connection.cpp
@@ -16,6 +16,8 @@
 constexpr net::Time kResponseTimeout = 400ms;
 constexpr std::uint64_t kMaxResponseBytes = 128 * 1024;  // a body has at most 64 KiB
 constexpr double kMaxRetryAfterS = 3600;
+constexpr std::string_view kRetryAfter = "retry-after", kOverSlots = "x-over-slots";
+constexpr std::string_view kKeptHeaders[] = {kRetryAfter, kOverSlots};
 
 }  // namespace
 
@@ -30,9 +32,9 @@
       return result;
     case 429:
     case 503: {
-      const std::string* over_slots = head.Find("x-over-slots");
+      const std::string* over_slots = head.Find(kOverSlots);
       result.outcome = over_slots != nullptr && *over_slots == "1" ? Outcome::kNotSent : Outcome::kRefused;
-      const std::string* retry_after = head.Find("retry-after");
+      const std::string* retry_after = head.Find(kRetryAfter);
       double seconds = 0;
       if (retry_after != nullptr)
         std::from_chars(retry_after->data(), retry_after->data() + retry_after->size(), seconds);
@@ -66,7 +68,7 @@
       owner_(owner),
       host_(std::move(host)),
       address_(address),
-      parser_(*this, kMaxResponseBytes),
+      parser_(*this, kMaxResponseBytes, kKeptHeaders),
       timer_(loop, [this] { OnTimeout(); }) {}
 
 bool EndpointConnection::Open() {
--- a/src/proto/http.cpp
+++ b/src/proto/http.cpp
@@ -20,15 +20,21 @@
   return line.size() == 12 || line[12] == ' ' || line[12] == '\r' ? status : 0;
 }
 
+// Appends the first bytes, so that the text does not become longer than the limit.
+void AppendUpTo(std::size_t max_bytes, std::string_view bytes, std::string* text) {
+  text->append(bytes.substr(0, max_bytes - std::min(max_bytes, text->size())));
+}
+
 }  // namespace
 
-const std::string* HttpResponseHead::Find(const std::string& name) const {
-  const auto it = headers.find(name);
+const std::string* HttpResponseHead::Find(std::string_view name) const {
+  const auto it = headers.find(std::string(name));
   return it == headers.end() ? nullptr : &it->second;
 }
 
-HttpResponseParser::HttpResponseParser(Handler& handler, std::uint64_t max_bytes)
-    : handler_(handler), max_bytes_(max_bytes) {
+HttpResponseParser::HttpResponseParser(Handler& handler, std::uint64_t max_bytes,
+                                       std::span<const std::string_view> kept_headers)
+    : handler_(handler), max_bytes_(max_bytes), kept_headers_(kept_headers) {
   http_parser_settings_init(&callbacks_);
   callbacks_.on_header_field = OnHeaderField;
   callbacks_.on_header_value = OnHeaderValue;
@@ -101,7 +107,7 @@
 void HttpResponseParser::StoreHeader() {
   std::transform(header_name_.begin(), header_name_.end(), header_name_.begin(),
                  [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  if (!header_name_.empty()) head_.headers[header_name_] = header_value_;
+  if (std::ranges::count(kept_headers_, header_name_) > 0) head_.headers[header_name_] = header_value_;
   header_name_.clear();
   header_value_.clear();
   in_header_value_ = false;
@@ -110,13 +116,13 @@
 int HttpResponseParser::OnHeaderField(http_parser* parser, const char* data, std::size_t length) {
   HttpResponseParser& self = ParserOf(parser);
   if (self.in_header_value_) self.StoreHeader();
-  self.header_name_.append(data, length);
+  AppendUpTo(kMaxNameBytes, {data, length}, &self.header_name_);
   return 0;
 }
 
 int HttpResponseParser::OnHeaderValue(http_parser* parser, const char* data, std::size_t length) {
   ParserOf(parser).in_header_value_ = true;
-  ParserOf(parser).header_value_.append(data, length);
+  AppendUpTo(kMaxValueBytes, {data, length}, &ParserOf(parser).header_value_);
   return 0;
 }
 
--- a/src/proto/http.hpp
+++ b/src/proto/http.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -14,11 +15,12 @@
 // Status and headers of a response.
 struct HttpResponseHead {
   int status = 0;
-  std::uint64_t content_length = 0;            // from the Content-Length header; 0 if there is none
-  std::map<std::string, std::string> headers;  // names in lower case
+  std::uint64_t content_length = 0;  // from the Content-Length header; 0 if there is none
+  // The kept headers, by name in lower case.
+  std::map<std::string, std::string> headers;
 
   // Returns the value of the header with that lower-case name, or null if there is none.
-  const std::string* Find(const std::string& name) const;
+  const std::string* Find(std::string_view name) const;
 };
 
 // Parses one response at a time from the bytes passed to Feed, and reports it to the handler, which must
@@ -27,6 +29,9 @@
  public:
   enum class State { kIncomplete, kComplete, kInvalid };
 
+  static constexpr std::size_t kMaxNameBytes = 64;  // of a kept header
+  static constexpr std::size_t kMaxValueBytes = 256;
+
   // Receives the parts of a response. Called from Feed and Finish.
   class Handler {
    public:
@@ -38,8 +43,11 @@
     virtual void OnComplete(bool keep_alive) = 0;
   };
 
-  // A response that is longer than `max_bytes`, or whose Content-Length is, is invalid; 0 means no limit.
-  explicit HttpResponseParser(Handler& handler, std::uint64_t max_bytes = 0);
+  // A response that is longer than `max_bytes`, or whose Content-Length is, is invalid; 0 means no limit. Of
+  // the headers, only those with the given lower-case names are kept, with the first kMaxValueBytes bytes of
+  // their values. The names must outlive the parser.
+  explicit HttpResponseParser(Handler& handler, std::uint64_t max_bytes = 0,
+                              std::span<const std::string_view> kept_headers = {});
   HttpResponseParser(const HttpResponseParser&) = delete;
   HttpResponseParser& operator=(const HttpResponseParser&) = delete;
 
@@ -73,6 +81,7 @@
 
   Handler& handler_;
   const std::uint64_t max_bytes_;
+  const std::span<const std::string_view> kept_headers_;
   http_parser parser_;
   http_parser_settings callbacks_;
   State state_ = State::kIncomplete;
--- a/tests/relay/memory_limit_test.cpp
+++ b/tests/relay/memory_limit_test.cpp
@@ -123,6 +123,33 @@
   CHECK(fixture.watcher.Stop() <= static_cast<std::size_t>(limits.memory_mb) * kBytesPerMb);
 }
 
+TEST_CASE("responses with very many short header fields do not take a process over its memory limit") {
+  constexpr int kHosts = 60, kFields = 13'000, kDestinationOfFirst = 100;
+  const Limits limits = GENERATE(kLeast, kMost);
+  MemoryFixture fixture(limits);
+  for (int i = 0; i < kHosts; ++i) fixture.stubs.AddHost("h" + std::to_string(i), kDestinationOfFirst + i);
+  fixture.relay.config["settings"]["family-info"]["calls-out"] = kHosts;
+  fixture.Start();
+  std::string head = "HTTP/1.1 500 Error\r\n";
+  for (int i = 0; i < kFields; ++i) {
+    const char name[] = {static_cast<char>('a' + i % 26), static_cast<char>('a' + i / 26 % 26),
+                         static_cast<char>('a' + i / 676), '\0'};
+    head += std::string(name) + ":\r\n";
+  }
+  std::vector<Client> clients;
+  for (int i = 0; i < kHosts; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    clients.emplace_back(fixture.relay);
+    clients.back().Put(id, "hello", 8000, ",k=" + id + ",dest=" + std::to_string(kDestinationOfFirst + i));
+  }
+  std::vector<HttpRequest> calls;
+  for (int i = 0; i < kHosts; ++i) calls.push_back(fixture.stubs.NextCall());
+  for (const HttpRequest& call : calls) call.connection->Send(head);
+  Client watching(fixture.relay);
+  fixture.WaitForCounter(watching, "errors", kHosts);
+  fixture.CheckMemory();
+}
+
 // The slow clients send a piece in each round, so they take 2 s.
 TEST_CASE("large requests and slow clients are served while stopped requests take all of the memory") {
   constexpr int kSlowClients = 20, kRounds = 10;
