Keep the state folder within a share of the memory

Callers would see: a relay over its memory limit where disk_mb is large beside memory_mb. Cause: files count as memory, and held messages have their bodies in memory too, but only limits.disk_mb bounded them. Result: the test (disk_mb 64, memory_mb 32, 300 messages of 64 KiB) fails on the program as found and passes now.

--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -89,7 +89,7 @@
   RelayProcess(const config::Config& config, Options options, handover::StartupState startup_state)
       : options_(std::move(options)),
         startup_state_(std::move(startup_state)),
-        journal_(config.state, config.disk_bytes, startup_state_.InFlightIds()),
+        journal_(config.state, config.max_state_bytes(), startup_state_.InFlightIds()),
         config_(WithIndexesOf(journal_, config)),
         phases_([this](Phase phase) { OnPhase(phase); }),
         discovery_address_(RequireAddress("discovery", config_.discovery)),
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -2,6 +2,7 @@
 // variables. Only this module reads and validates them and sets defaults.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <stdexcept>
@@ -49,6 +50,8 @@
   }
   std::size_t max_clients() const { return shareable_descriptors() * 2 / 5; }
   std::size_t max_endpoint_connections() const { return shareable_descriptors() / 2; }
+  // Limit of the state folder. Its files count as memory, and the bodies of held messages take as much again.
+  std::size_t max_state_bytes() const { return std::min(disk_bytes, memory_mb * kBytesPerMb / 8); }
   // Share of the memory for commands of clients that are incomplete or not answered yet. During a handover
   // two processes hold them, and share the limit.
   std::size_t client_receive_bytes() const { return memory_mb * kBytesPerMb / 16; }
--- a/tests/relay/memory_limit_test.cpp
+++ b/tests/relay/memory_limit_test.cpp
@@ -184,6 +184,21 @@
   fixture.CheckMemory();
 }
 
+TEST_CASE("the state folder takes no more than its share of the memory limit") {
+  MemoryFixture fixture;
+  fixture.relay.config["limits"]["disk_mb"] = 64;
+  fixture.relay.config["settings"]["limits"]["max-open"] = 2000;
+  fixture.Start();
+  int accepted = 0;
+  for (int i = 0; i < 300; ++i) {
+    Client client(fixture.relay);
+    client.socket().Send(LargePut("id-" + std::to_string(i)));
+    accepted += client.ReadLine() == "+OK";
+  }
+  CHECK(accepted > 0);
+  fixture.CheckMemory();
+}
+
 TEST_CASE("a receive budget keeps room beyond its limit for commands that have arrived completely") {
   using client::ReceiveBudget;
   ReceiveBudget budget(100);
