Don't send on a request whose client has closed with more requests unread

Cause: before +OK the relay looks whether the client has closed, by reading one byte ahead. While bytes are unread the end of the stream is behind them. Change: poll reports the end of the stream (POLLRDHUP) whatever is unread.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -219,9 +220,12 @@
   return fd_ >= 0 && ioctl(fd_, FIONREAD, &count) == 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+// The end of the stream can't be read while bytes before it are unread, but poll reports it.
 bool Connection::ClosedByPeer() const {
-  char byte = 0;
   if (fd_ < 0 || broken_) return true;
+  pollfd poll_entry{fd_, POLLRDHUP, 0};
+  if (poll(&poll_entry, 1, 0) > 0) return true;
+  char byte = 0;
   const ssize_t count = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return count == 0 || (count < 0 && !IsTransient(errno));
 }
--- a/tests/relay/client_race_test.cpp
+++ b/tests/relay/client_race_test.cpp
@@ -143,6 +143,27 @@
   CHECK(fixture.stubs.NextCall().id() == "id-2");
 }
 
+TEST_CASE("a request whose client has closed its connection with much still unread is not sent on") {
+  RelayFixture fixture;
+  fixture.relay.config["limits"]["memory_mb"] = GENERATE(32, 2048);
+  fixture.relay.Start();
+  Client watcher(fixture.relay);
+  REQUIRE(watcher.Ask(kPing) == "+PONG");
+  fixture.relay.Suspend();
+  for (int i = 0; i < 5; ++i) {
+    Client leaving(fixture.relay);
+    for (int j = 0; j < 20; ++j) {
+      const std::string id = std::to_string(i) + "-" + std::to_string(j);
+      leaving.Put(id, std::string(2000, 'x'), 8000, ",k=key-" + id + ",dest=7");
+    }
+    leaving.socket().WaitUntilAcknowledged();
+  }
+  fixture.relay.Resume();
+  fixture.WaitForCounter(watcher, "withdrawn", 5);
+  CHECK(watcher.Counters()["taken_on"] == 0);
+  CHECK_FALSE(fixture.stubs.CallArrivesWithin(0ms));
+}
+
 TEST_CASE("a client that repeatedly sends thousands of requests and disconnects does not affect others") {
   RelayFixture fixture;
   fixture.relay.environment["ASAN_OPTIONS"] = "quarantine_size_mb=1:malloc_context_size=2";
