Don't run a message again that comes again after it was delivered

Such a message is answered +OK and its end is reported again. One that has surely not run is taken on as before.

--- a/src/handover/packets.cpp
+++ b/src/handover/packets.cpp
@@ -92,6 +92,17 @@
   return learned_state;
 }
 
+Json ToJson(const relay::EndedMessage& ended) {
+  Json fields = {ended.id, ended.deadline.count()};
+  if (ended.ending) fields.insert(fields.end(), {ended.ending->deferred, ended.ending->retry_after_ms});
+  return fields;
+}
+relay::EndedMessage EndedMessageFromJson(const Json& fields) {
+  relay::EndedMessage ended{fields.at(0), TimeFromJson(fields.at(1)), {}};
+  if (fields.size() > 2) ended.ending = journal::Ending{fields.at(2), fields.at(3)};
+  return ended;
+}
+
 // A packet is encoded as an array of its index in Packet and an array of its fields.
 struct PacketToArray {
   Json operator()(const HandoverRequest& packet) const { return {packet.version, packet.pid}; }
@@ -187,12 +198,15 @@
   for (const auto& wait : state.host_waits)
     host_waits.push_back({wait.host, wait.received_at.count(), wait.until.count()});
   for (const auto& wait : state.address_waits) address_waits.push_back({wait.address, wait.until.count()});
+  Json ended_messages = Json::array();
+  for (const auto& ended : state.ended_messages) ended_messages.push_back(ToJson(ended));
   const std::string bytes = ToCbor({{"revision", state.routing_table.revision},
                                     {"hosts", std::move(hosts)},
                                     {"beliefs", std::move(learned_states)},
                                     {"out", std::move(in_flight)},
                                     {"waits", std::move(host_waits)},
                                     {"address_waits", std::move(address_waits)},
+                                    {"ended", std::move(ended_messages)},
                                     {"list_valid_until", state.list_valid_until.count()}});
   std::vector<StateChunk> chunks;
   for (std::size_t offset = 0; offset < bytes.size(); offset += kChunkBytes)
@@ -221,6 +235,8 @@
     for (const Json& wait : root.value("address_waits", Json::array())) {
       state.address_waits.push_back({wait.at(0), TimeFromJson(wait.at(1))});
     }
+    for (const Json& ended : root.value("ended", Json::array()))
+      state.ended_messages.push_back(EndedMessageFromJson(ended));
     return state;
   } catch (const Json::exception& error) {
     throw std::invalid_argument(error.what());
--- a/src/relay/handover_state.hpp
+++ b/src/relay/handover_state.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "relay/ended_messages.hpp"
 #include "relay/ports.hpp"
 #include "wheathub/decide.hpp"
 
@@ -37,7 +38,8 @@
   std::vector<wheathub::LearnedState> learned_states;
   std::vector<InFlightAttempt> in_flight;
   std::vector<HostWait> host_waits;
-  std::vector<AddressWait> address_waits;  // empty if the sender is of an older version
+  std::vector<AddressWait> address_waits;    // empty if the sender is of an older version
+  std::vector<EndedMessage> ended_messages;  // empty if the sender is of an older version
   Time list_valid_until{0};  // 0 if the sender is of an older version, which does not transfer it
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -113,6 +113,8 @@
     RoutingChanged(routing_table);
     for (const wheathub::LearnedState& learned_state : handed_over_state->learned_states)
       Queue(learned_state);
+    for (const EndedMessage& ended : handed_over_state->ended_messages)
+      ended_messages_.Add(ended, ports_.clock.Now());
   }
   for (const auto& [id, entry] : journal_.entries()) {
     if (entry.ending) {
@@ -169,6 +171,8 @@
     client.OnAccepted();
     return;
   }
+  if (const EndedMessage* const ended = ended_messages_.Find(id, ports_.clock.Now()))
+    return AnswerEnded(*ended, client);
   if (const auto it = pending_.find(id); it != pending_.end()) {
     it->second.clients.push_back(&client);
     return;
@@ -188,6 +192,11 @@
   if (room == Room::kFree) PassToDecider(pending);
 }
 
+void Relay::AnswerEnded(const EndedMessage& ended, Client& client) {
+  counters_.duplicates += 1;
+  if (client.OnAccepted() && ended.ending) ports_.notices.Post(ended.id, *ended.ending);
+}
+
 void Relay::PassToDecider(PendingMessage& pending) {
   pending.reservation.emplace(journal_.Reserve(pending.message));
   journal::Entry entry;
@@ -304,6 +313,7 @@
   HandoverState handover_state;
   handover_state.routing_table = table_.Listed();
   handover_state.learned_states = decider_.learned_states();
+  handover_state.ended_messages = ended_messages_.All();
   for (const auto& [attempt, attempt_state] : in_flight_) {
     if (!attempt_state.written) continue;
     const auto held = held_.find(attempt.id);
@@ -468,9 +478,13 @@
     const bool may_be_late =
         held != held_.end() && ports_.clock.Now() >= held->second.deadline - kClientTimeout;
     counters_.delivered += is_served;
+    const std::optional<journal::Ending> ending =
+        is_served && may_be_late ? std::optional(journal::Ending{false, 0}) : std::nullopt;
+    if (is_served && held != held_.end())
+      ended_messages_.Add({attempt.id, held->second.deadline, ending}, ports_.clock.Now());
     if (held != held_.end()) held_.erase(held);
-    if (is_served && may_be_late) {
-      RecordAndNotify(attempt.id, {false, 0});
+    if (ending) {
+      RecordAndNotify(attempt.id, *ending);
     } else {
       journal_.Close(attempt.id);
     }
@@ -512,6 +526,7 @@
         it->second.unattempted && entry->attempts == 0 && 10 * remaining > class_deadline;
     const bool is_early = 10 * remaining > 3 * class_deadline;
     counters_.returned_early += is_early && !entry->first_uncertain;
+    if (entry->first_uncertain) ended_messages_.Add({id, it->second.deadline, ending}, ports_.clock.Now());
   }
   held_.erase(it);
   (ending.deferred ? counters_.deferred : counters_.undeliverable) += 1;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -15,6 +15,7 @@
 #include "journal/journal.hpp"
 #include "relay/class_registry.hpp"
 #include "relay/counters.hpp"
+#include "relay/ended_messages.hpp"
 #include "relay/handover_state.hpp"
 #include "relay/ports.hpp"
 #include "relay/routing_table.hpp"
@@ -164,6 +165,8 @@
   void AnswerPending(const std::vector<wheathub::Action>& actions);
   // Returns false if the message was not accepted after all.
   bool AcceptPending(PendingMessage& pending);
+  // Answers a message that ended earlier: it is accepted, and its end is reported again.
+  void AnswerEnded(const EndedMessage& ended, Client& client);
   void EndUndelivered(const std::string& id, const journal::Ending& ending);
   void RecordAndNotify(const std::string& id, const journal::Ending& ending);
   void CountOutcome(const AttemptResult& result);
@@ -206,6 +209,7 @@
   std::set<wheathub::DestinationId> known_destinations_;
   std::map<std::string, PendingMessage> pending_;  // submitted and not answered yet
   std::map<std::string, HeldMessage> held_;
+  EndedMessages ended_messages_;
   std::map<AttemptId, AttemptState> in_flight_;
   bool sending_stopped_ = false;
   ResultListener result_listener_;  // set once the handover is complete
--- a/tests/relay/client_race_test.cpp
+++ b/tests/relay/client_race_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "race_fixture.hpp"
+#include "relay/ended_messages.hpp"
 
 namespace oxbowspread::testing {
 namespace {
@@ -164,6 +165,46 @@
   CHECK_FALSE(fixture.stubs.CallArrivesWithin(0ms));
 }
 
+TEST_CASE("a message that comes again after its client has left and it was delivered does not run twice") {
+  RelayFixture fixture;
+  fixture.relay.config["limits"]["memory_mb"] = GENERATE(32, 2048);
+  fixture.relay.Start();
+  Client watcher(fixture.relay);
+  {
+    Client leaving(fixture.relay);
+    leaving.Put("again");
+    fixture.stubs.Answer(fixture.stubs.NextCall(), "200 OK");
+  }
+  fixture.WaitForCounter(watcher, "delivered", 1);
+  Client returning(fixture.relay);
+  returning.Put("again");
+  CHECK(returning.ReadLine() == "+OK");
+  // A later message is called, and no call came before it.
+  returning.Put("later", "hello", 8000, ",k=key2,dest=7");
+  CHECK(returning.ReadLine() == "+OK");
+  CHECK(fixture.stubs.NextCall().id() == "later");
+  CHECK(watcher.Counters()["known_again"] == 1);
+}
+
+TEST_CASE("ended messages are remembered until their deadlines, and no more than a limit of them") {
+  using relay::EndedMessages;
+  EndedMessages messages;
+  messages.Add({"late", 10us, {}}, 10us);
+  CHECK(messages.size() == 0);
+  messages.Add({"first", 20us, journal::Ending{false, 5}}, 10us);
+  REQUIRE(messages.Find("first", 19us) != nullptr);
+  CHECK(messages.Find("first", 19us)->ending->retry_after_ms == 5);
+  CHECK(messages.Find("first", 20us) == nullptr);
+  messages.Add({"first", 50us, {}}, 11us);
+  CHECK(messages.size() == 1);
+  for (std::size_t i = 0; i < EndedMessages::kMaxMessages; ++i)
+    messages.Add({"id-" + std::to_string(i), 100us + std::chrono::microseconds(i), {}}, 12us);
+  CHECK(messages.size() == EndedMessages::kMaxMessages);
+  CHECK(messages.Find("first", 12us) == nullptr);
+  messages.Add({"last", 10'000us, {}}, 9'000us);
+  CHECK(messages.All().size() == 1);
+}
+
 TEST_CASE("a client that repeatedly sends thousands of requests and disconnects does not affect others") {
   RelayFixture fixture;
   fixture.relay.environment["ASAN_OPTIONS"] = "quarantine_size_mb=1:malloc_context_size=2";
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -200,6 +200,25 @@
   CHECK(client.ReadLine() == "+OK");
 }
 
+TEST_CASE("a message that was delivered before a handover does not run again at the new process") {
+  HandoverFixture fixture;
+  fixture.old_process.Start();
+  {
+    Client client(fixture.old_process);
+    client.Put("again");
+    REQUIRE(client.ReadLine() == "+OK");
+    fixture.stubs.Answer(fixture.stubs.NextCall(), "200 OK");
+    fixture.stubs.WaitUntil([&] { return client.Counters()["delivered"] == 1; });
+  }
+  fixture.HandOver();
+  Client client(fixture.new_process);
+  client.Put("again");
+  CHECK(client.ReadLine() == "+OK");
+  client.Put("later", "hello", 8000, ",k=key2,dest=7");
+  CHECK(client.ReadLine() == "+OK");
+  CHECK(fixture.stubs.NextCall().id() == "later");
+}
+
 TEST_CASE("a wait requested by a host and the exclusion of another one survive a handover") {
   HandoverFixture fixture;
   fixture.old_process.Start();
