Test floods of small commands and a new process at the address of one that has gone

Change: two tests. One client sends seven kinds of small or unsound commands, also under ever new names, at full speed for 1 s each, while another one is answered within 400 ms; memory stays under 32 MB at both sizes. A call that still connects is not written once a new host has the address. The test with an idle connection ('a host whose address was reassigned ...') was there before.

--- a/tests/relay/memory_limit_test.cpp
+++ b/tests/relay/memory_limit_test.cpp
@@ -4,8 +4,10 @@
 #include <signal.h>
 #include <sys/resource.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <list>
+#include <thread>
 
 #include "client/receive_budget.hpp"
 #include "memory_watcher.hpp"
@@ -184,6 +186,88 @@
   fixture.CheckMemory();
 }
 
+// A client that writes small commands at full speed on one connection, and reads the answers, on a thread of
+// its own.
+class Flood {
+ public:
+  using CommandOf = std::function<std::string(int number)>;
+  Flood(const RelayProcess& relay, CommandOf command_of)
+      : relay_(relay), command_of_(std::move(command_of)), thread_([this] { Run(); }) {}
+  ~Flood() {
+    stopped_ = true;
+    thread_.join();
+  }
+  Flood(const Flood&) = delete;
+  Flood& operator=(const Flood&) = delete;
+  int sent() const { return sent_; }
+
+ private:
+  static constexpr int kCommandsAtOnce = 100;
+
+  // The relay closes the connection after some kinds of unsound command.
+  void Run() {
+    while (!stopped_) {
+      const Socket socket = Socket::Connect(relay_.port());
+      bool ended = false;
+      while (!stopped_ && !ended) {
+        std::string commands;
+        for (int i = 0; i < kCommandsAtOnce; ++i) commands += command_of_(++sent_);
+        socket.Send(commands);
+        while (!ended && !socket.Receive(0ms, &ended).empty()) {
+        }
+      }
+    }
+  }
+
+  const RelayProcess& relay_;
+  CommandOf command_of_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<int> sent_ = 0;
+  std::thread thread_;
+};
+
+TEST_CASE("one client's flood of small commands delays no other client's answer and takes no memory") {
+  constexpr auto kAnswerTime = 400ms, kFloodTime = 1000ms;
+  const Limits limits = GENERATE(kLeast, kMost);
+  const auto put = [](const std::string& id, const std::string& class_name, int destination) {
+    return Client::PutCommand(id, "x", 300, ",k=k,dest=" + std::to_string(destination), class_name);
+  };
+  const std::map<std::string, Flood::CommandOf> floods = {
+      {"ping", [](int) { return std::string(kPing); }},
+      {"info", [](int) { return std::string("*1\r\n$4\r\nINFO\r\n"); }},
+      {"unknown commands",
+       [](int number) {
+         const std::string name = "X" + std::to_string(number);
+         return "*1\r\n$" + std::to_string(name.size()) + "\r\n" + name + "\r\n";
+       }},
+      {"new ids", [&](int number) { return put("f-" + std::to_string(number), "outbound", 7); }},
+      {"new classes",
+       [&](int number) { return put("f-" + std::to_string(number), "c-" + std::to_string(number), 7); }},
+      {"new destinations",
+       [&](int number) { return put("f-" + std::to_string(number), "outbound", 1000 + number); }},
+      {"noise", [](int) { return std::string("\r\n"); }},
+  };
+  MemoryFixture fixture(limits);
+  fixture.Start();
+  Client client(fixture.relay);
+  for (const auto& [name, command_of] : floods) {
+    INFO(name);
+    const Flood flood(fixture.relay, command_of);
+    const auto until = Clock::now() + kFloodTime;
+    for (int i = 0; Clock::now() < until; ++i) {
+      const auto asked_at = Clock::now();
+      client.Put(name.substr(0, 2) + std::to_string(i));
+      const std::string answer = client.ReadLine();
+      CHECK((answer == "+OK" || answer.substr(0, 5) == "-BUSY"));
+      CHECK(Clock::now() - asked_at < kAnswerTime);
+      fixture.AnswerCalls();
+    }
+    CHECK(flood.sent() > 1000);
+  }
+  fixture.CheckMemory();
+  CHECK(fixture.watcher.largest_bytes() <= kLeast.memory_mb * kBytesPerMb);
+}
+
 TEST_CASE("the state folder takes no more than its share of the memory limit") {
   MemoryFixture fixture;
   fixture.relay.config["limits"]["disk_mb"] = 64;
--- a/tests/relay/race_test.cpp
+++ b/tests/relay/race_test.cpp
@@ -75,6 +75,35 @@
   CHECK(late.Receive(0ms).empty());
 }
 
+TEST_CASE("a call still connecting is not written to a new process at the address of one that has gone") {
+  RelayFixture fixture;
+  fixture.relay.config["limits"]["memory_mb"] = GENERATE(32, 2048);
+  FullBacklogHost full_host(fixture.stubs, "gone", 8);
+  full_host.FillBacklog();
+  fixture.relay.Start();
+  Client client(fixture.relay);
+  fixture.stubs.WaitUntil([&] { return fixture.stubs.watch_requests == 1; });
+  client.Put("id-1", "hello", 8000, ",k=key1,dest=8");
+  REQUIRE(client.ReadLine() == "+OK");
+  fixture.WaitForCounter(client, "legs", 1);
+  nlohmann::json gone = fixture.stubs.ListEntry("gone"), replacement = gone;
+  gone["state"] = "Gone";
+  replacement["id"] = "replacement";
+  replacement["cell"] = 9;
+  fixture.stubs.PushChange({{"version", 9}, {"servers", {gone, replacement}}});
+  fixture.stubs.WaitUntilPushesDelivered();
+  REQUIRE(client.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG");
+  const Socket late = full_host.AcceptRelayConnection();
+  REQUIRE(late.fd() >= 0);
+  fixture.WaitForCounter(client, "legs_held_back", 1);
+  CHECK(late.Receive(0ms).empty());
+  client.Put("id-2", "hello", 8000, ",k=key2,dest=9");
+  REQUIRE(client.ReadLine() == "+OK");
+  const Socket current = full_host.listener.Accept(5s);
+  REQUIRE(current.fd() >= 0);
+  CHECK(current.Receive(5s).find("X-Request-ID: id-2") != std::string::npos);
+}
+
 // ---- answers close to deadlines ----
 
 TEST_CASE("an answer received by the message's deadline counts even if the relay reads it later") {
