--- a/src/apps/oxbowlab.cpp
+++ b/src/apps/oxbowlab.cpp
@@ -69,11 +69,13 @@
 struct SoakOptions {
   std::string seeds = "1-10", relay, program, keep;
   int jobs = 2;
+  bool crowds = false;  // days of DrawCrowdedSoak, on which memory is watched
 };
 
 // Runs one day in this process and prints its report as JSON.
-int RunSoakDay(std::uint64_t seed, const std::string& relay, const std::string& folder) {
-  const model::Scenario scenario = model::DrawSoak(seed);
+int RunSoakDay(std::uint64_t seed, const SoakOptions& options) {
+  const std::string& folder = options.keep;
+  const model::Scenario scenario = options.crowds ? model::DrawCrowdedSoak(seed) : model::DrawSoak(seed);
   const model::Day day = model::DrawDay(scenario, seed);
   const std::string run_folder =
       folder.empty()
@@ -86,11 +88,23 @@
     trace.open(run_folder + ".trace");
     trace_sink = [&](const trace::Event& event) { trace << trace::ToJsonLine(event) << "\n"; };
   }
-  const lab::Outcome outcome = lab::RunOnSockets(scenario, day, {relay, run_folder, trace_sink});
-  std::cout << lab::ToJson(outcome, day, scenario.name).dump() << "\n";
+  const lab::Outcome outcome =
+      lab::RunOnSockets(scenario, day, {options.relay, run_folder, trace_sink, options.crowds});
+  Json report = lab::ToJson(outcome, day, scenario.name);
+  report["memory_mb"] = scenario.relay.memory_mb;
+  std::cout << report.dump() << "\n";
   return outcome.clean() ? 0 : kExitNotClean;
 }
 
+// Returns the peak memory of a relay and its limit, in MB; empty if it was not watched.
+std::string PeakMemoryText(const Json& report) {
+  const double peak_mb = report.at("peak_memory_kb").get<double>() * 1024 / 1e6;
+  if (peak_mb == 0) return {};
+  char text[40];
+  std::snprintf(text, sizeof text, "%.1f of %d", peak_mb, report.at("memory_mb").get<int>());
+  return text;
+}
+
 void PrintSoakRow(std::uint64_t seed, const Json& report) {
   const Json& breaches = report.at("breaches");
   std::string broken_rules;
@@ -100,10 +114,11 @@
       broken_rules += (broken_rules.empty() ? "" : " ") + rule;
   }
   const Json& figures = report.at("figures");
-  std::printf("| %llu | %ld | %ld, %ld | %zu %s | %s | %s |\n", static_cast<unsigned long long>(seed),
+  std::printf("| %llu | %ld | %ld, %ld | %zu %s | %s | %s | %s |\n", static_cast<unsigned long long>(seed),
               figures.at("calls").get<long>(), figures.at("asked").get<long>(),
               figures.at("delivered").get<long>(), breaches.size(), broken_rules.c_str(),
-              report.at("crash").get<std::string>().c_str(), report.at("spoilt").get<std::string>().c_str());
+              PeakMemoryText(report).c_str(), report.at("crash").get<std::string>().c_str(),
+              report.at("spoilt").get<std::string>().c_str());
   std::fflush(stdout);
 }
 
@@ -112,8 +127,8 @@
 // may have caused the breaches, so that only a crash counts.
 int RunSoak(const SoakOptions& options) {
   const auto seeds = results::ParseSeeds(options.seeds);
-  std::printf("| seed | calls | asked, delivered | breaches | crash | invalid |\n");
-  std::printf("| --- | --- | --- | --- | --- | --- |\n");
+  std::printf("| seed | calls | asked, delivered | breaches | peak memory, MB | crash | invalid |\n");
+  std::printf("| --- | --- | --- | --- | --- | --- | --- |\n");
   std::mutex mutex;
   std::atomic<std::size_t> next{0};
   std::size_t not_clean = 0, invalid_days = 0;
@@ -122,6 +137,7 @@
     for (std::size_t i = next++; i < seeds.size(); i = next++) {
       std::vector<std::string> arguments = {options.program,          "soak",    "--one",
                                             std::to_string(seeds[i]), "--relay", options.relay};
+      if (options.crowds) arguments.push_back("--crowds");
       if (!options.keep.empty()) arguments.insert(arguments.end(), {"--keep", options.keep});
       const results::ProcessResult child = results::RunProcess(arguments);
       const std::lock_guard<std::mutex> guard(mutex);
@@ -419,6 +435,9 @@
                    "the relay's program (oxbowspread in the folder of this program)");
   soak->add_option("--keep", soak_options.keep,
                    "a folder for traces, and for the relays' files of days that are not clean");
+  soak->add_flag(
+      "--crowds", soak_options.crowds,
+      "days with crowds, kills in series and less memory; a relay over its memory limit counts as crashed");
   soak->add_option("--one", one_seed,
                    "run the day of this seed only, in this process, and print one JSON object");
 
@@ -487,7 +506,7 @@
   if (const auto code = apps::Parse(app, "oxbowlab", argc, argv)) return *code;
   try {
     if (sim->parsed() || run->parsed()) return RunDay(run_options, run->parsed());
-    if (soak->parsed() && one_seed > 0) return RunSoakDay(one_seed, soak_options.relay, soak_options.keep);
+    if (soak->parsed() && one_seed > 0) return RunSoakDay(one_seed, soak_options);
     if (soak->parsed()) return RunSoak(soak_options);
     if (check->parsed()) return Check(file, scenario_file);
     if (sweep_command->parsed()) return RunSweep(sweep_options);
--- a/src/client/client_server.cpp
+++ b/src/client/client_server.cpp
@@ -29,9 +29,9 @@
 // evicted before all others.
 constexpr net::Time kFirstCommandTimeout = 300ms;
 constexpr net::Time kReceiveProgressTimeout = 700ms;
-// Commands are consumed from the buffer as they arrive, so the buffer can be small: hundreds of clients share
-// the memory limit.
-constexpr std::size_t kReceiveBufferBytes = 4 * 1024;
+// Commands are consumed from the receive buffer as they arrive, so it can be small: hundreds of clients share
+// the memory limit. The send buffer is used only for answers that the kernel has no room for.
+constexpr net::Connection::BufferLimits kBufferLimits = {.receive = 4 * 1024, .send = 32 * 1024};
 // Commands whose arguments have up to this many bytes in total need no room in the budget.
 constexpr std::size_t kSmallCommandBytes = 2 * 1024;
 // While clients wait for room, the relay checks at this interval whether their commands have arrived.
@@ -46,7 +46,7 @@
 Client::Client(net::Loop& loop, int fd, ClientServer& server)
     : loop_(loop),
       server_(server),
-      connection_(loop, fd, *this, kReceiveBufferBytes),
+      connection_(loop, fd, *this, kBufferLimits),
       parser_(kSmallCommandBytes),
       timer_(loop, [this] { OnTimeout(); }),
       resume_timer_(loop, [this] { ResumeReading(); }),
--- a/src/lab/outcome.hpp
+++ b/src/lab/outcome.hpp
@@ -24,9 +24,12 @@
   // Longest delay between a message's due time and its submission; 0 on a virtual clock.
   trace::Time load_lateness{0};
   std::uint64_t steps = 0;  // steps of the decision modules of all relays; on a virtual clock only
-  std::uint64_t max_held_messages = 0;              // at one relay; on a virtual clock only
-  trace::Time cpu_time{0};                          // of all relays; on sockets only
-  std::uint64_t peak_kb = 0;                        // resident memory of the largest relay; on sockets only
+  std::uint64_t max_held_messages = 0;  // at one relay; on a virtual clock only
+  trace::Time cpu_time{0};              // of all relays; on sockets only
+  std::uint64_t peak_kb = 0;            // resident memory of the largest relay; on sockets only
+  // Most memory that counted against one relay's limit: see ProcessMemory. On sockets only, if it was
+  // watched.
+  std::uint64_t peak_memory_kb = 0;
   trace::Time worst_list_delay{0};                  // until a drain was announced: see check::ListDelay
   std::vector<std::uint64_t> list_calls_by_second;  // calls to discovery; on sockets only
 
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -56,6 +56,8 @@
       return "signals";
     case Kind::kIdleClients:
       return event.value > 0 ? "idle clients" : "idle clients leave";
+    case Kind::kStoppedClients:
+      return event.value > 0 ? "stopped clients" : "stopped clients leave";
   }
   return "";
 }
@@ -139,6 +141,7 @@
   report["cpu_us_a_message"] = static_cast<double>(outcome.cpu_time.count()) /
                                std::max(1.0, static_cast<double>(outcome.figures.messages_due));
   report["peak_kb"] = outcome.peak_kb;
+  report["peak_memory_kb"] = outcome.peak_memory_kb;
   report["worst_news_us"] = outcome.worst_list_delay.count();
   report["list_calls"] = outcome.list_calls_by_second;
   report["turns"] = Json::array();
--- a/src/lab/simulation.cpp
+++ b/src/lab/simulation.cpp
@@ -138,6 +138,7 @@
   // Signals that don't end a process and idle clients exist in runs on sockets only.
   void Apply(const model::SignalRelay&) {}
   void Apply(const model::SetIdleClients&) {}
+  void Apply(const model::SetStoppedClients&) {}
   // Connect asks the model whether a host listens at an address.
   void Apply(const model::HostUp&) {}
   void Apply(const model::HostDown&) {}
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -18,7 +18,9 @@
 #include "standin/client_connection.hpp"
 #include "standin/platform.hpp"
 #include "standin/site.hpp"
+#include "standin/stopped_clients.hpp"
 #include "supervise/process.hpp"
+#include "supervise/process_memory.hpp"
 
 namespace oxbowspread::lab {
 namespace {
@@ -56,6 +58,7 @@
       Relay& relay = relays_[relay_index];
       relay.listen = "127.0.0.1:" + std::to_string(standin::FreePort());
       relay.address = *net::ParseAddress(relay.listen);
+      relay.stopped_clients = std::make_unique<standin::StoppedClients>(loop_, relay.address);
       AddDiscoveryServer(relay_index);
     }
   }
@@ -98,6 +101,7 @@
     Json config;                                     // of the current process
     int signals_left = 0;                            // alternately SIGHUP and SIGUSR1, one at each poll
     std::vector<std::unique_ptr<standin::ClientConnection>> idle_clients;
+    std::unique_ptr<standin::StoppedClients> stopped_clients;
     std::set<std::uint64_t> open_watches;  // calls for which a response has begun
     pid_t pid = 0;
     int process_count = 0;
@@ -269,6 +273,8 @@
       if (relay.pid > 0 && relay.signals_left > 0)
         kill(relay.pid, relay.signals_left-- % 2 == 0 ? SIGHUP : SIGUSR1);
       CloseMovedServers(relay_index, now);
+      if (relay.ready) relay.stopped_clients->Replenish();
+      if (options_.check_memory && relay.pid > 0) CheckMemory(relay_index);
       all_ready = all_ready && relay.ready;
       all_exited = all_exited && relay.pid <= 0;
     }
@@ -319,6 +325,18 @@
     Notify(model::RelayDown{static_cast<int>(relay_index)});
   }
 
+  void CheckMemory(std::size_t relay_index) {
+    const auto limit_kb = static_cast<std::uint64_t>(scenario_.relay.memory_mb) * 1'000'000 / 1024;
+    const std::uint64_t used_kb = supervise::MemoryBytes({relays_[relay_index].pid}, options_.relay,
+                                                         FolderOf(static_cast<int>(relay_index)) + "/state") /
+                                  1024;
+    outcome_.peak_memory_kb = std::max(outcome_.peak_memory_kb, used_kb);
+    if (used_kb > limit_kb && outcome_.crash.empty()) {
+      outcome_.crash = "n" + std::to_string(relay_index + 1) + " used " + std::to_string(used_kb) + " of " +
+                       std::to_string(limit_kb) + " kB of memory";
+    }
+  }
+
   void Apply(const model::KillRelay& effect) {
     Relay& relay = relays_[static_cast<std::size_t>(effect.relay)];
     if (relay.pid <= 0) return;
@@ -352,6 +370,10 @@
   void Apply(const model::SignalRelay& effect) {
     relays_[static_cast<std::size_t>(effect.relay)].signals_left = effect.count;
   }
+  void Apply(const model::SetStoppedClients& effect) {
+    relays_[static_cast<std::size_t>(effect.relay)].stopped_clients->SetCount(
+        static_cast<std::size_t>(effect.count));
+  }
   void Apply(const model::SetIdleClients& effect) {
     Relay& relay = relays_[static_cast<std::size_t>(effect.relay)];
     for (auto& connection : relay.idle_clients) {
--- a/src/lab/socket_run.hpp
+++ b/src/lab/socket_run.hpp
@@ -14,6 +14,7 @@
   std::string relay;   // path of the relay program
   std::string folder;  // for state, configuration and logs; emptied if it exists, removed after a clean run
   TraceSink trace;     // gets all events, after the checker; may be empty
+  bool check_memory = false;         // whether a relay over its memory limit counts as crashed
   model::Time max_lateness{25'000};  // in microseconds; if the load is later than this, the run is invalid
 };
 
--- a/src/model/day.cpp
+++ b/src/model/day.cpp
@@ -185,6 +185,12 @@
             Schedule(at + length, ScheduledEvent::Kind::kIdleClients, relay, 0);
           }
           break;
+        case Fault::Kind::kStoppedClients:
+          for (const int relay : PickRelays(share, random)) {
+            Schedule(at, ScheduledEvent::Kind::kStoppedClients, relay, fault.count);
+            Schedule(at + length, ScheduledEvent::Kind::kStoppedClients, relay, 0);
+          }
+          break;
         case Fault::Kind::kDiscoveryDown:
           Schedule(at, ScheduledEvent::Kind::kDiscoveryDown, -1, random.UniformIn(fault.refusal_delay));
           Schedule(at + length, ScheduledEvent::Kind::kDiscoveryRecovered, -1);
--- a/src/model/day.hpp
+++ b/src/model/day.hpp
@@ -62,7 +62,8 @@
     kTruncateList,
     kMoveDiscovery,
     kSignals,
-    kIdleClients
+    kIdleClients,
+    kStoppedClients
   };
   Time at{0};
   Kind kind = Kind::kSetListLag;
@@ -70,7 +71,8 @@
   // The meaning depends on the kind. kTerminateRelay: seconds between the exit and the restart. kStartOutage:
   // chance that a call fails; at 1 and above the host refuses every call. kSetListLag: seconds that are added
   // to the list's lag from now on. kDiscoverySlow: seconds per call. kDiscoveryDown: seconds until a call is
-  // refused. kDiscoveryOverloaded: chance that a call is refused. kSignals and kIdleClients: their number.
+  // refused. kDiscoveryOverloaded: chance that a call is refused. kSignals, kIdleClients and kStoppedClients:
+  // their number.
   double value = 0;
   Time until{0};  // kStartOutage: when it ends
 };
--- a/src/model/platform_model.cpp
+++ b/src/model/platform_model.cpp
@@ -534,6 +534,9 @@
     case ScheduledEvent::Kind::kIdleClients:
       effects_.push_back(SetIdleClients{scheduled.index, static_cast<int>(scheduled.value)});
       return;
+    case ScheduledEvent::Kind::kStoppedClients:
+      effects_.push_back(SetStoppedClients{scheduled.index, static_cast<int>(scheduled.value)});
+      return;
   }
 }
 
--- a/src/model/platform_model.hpp
+++ b/src/model/platform_model.hpp
@@ -117,6 +117,9 @@
 struct SetIdleClients {  // from now on `count` clients stay connected and send nothing
   int relay = 0, count = 0;
 };
+struct SetStoppedClients {  // the same with clients that stop within a large request
+  int relay = 0, count = 0;
+};
 struct SendHeartbeat {  // on a watch, while nothing changes
   int relay = 0;
   std::uint64_t call = 0;
@@ -145,7 +148,7 @@
 using Effect =
     std::variant<SubmitMessage, AbandonSubmission, AnswerCall, CloseCallConnection, SendList, RefuseList,
                  SendHeartbeat, HostUp, HostDown, KillRelay, TerminateRelay, StartRelay, StopRelay,
-                 ContinueRelay, TruncateList, MoveDiscovery, SignalRelay, SetIdleClients>;
+                 ContinueRelay, TruncateList, MoveDiscovery, SignalRelay, SetIdleClients, SetStoppedClients>;
 
 class PlatformModel {
  public:
--- a/src/model/scenario.cpp
+++ b/src/model/scenario.cpp
@@ -196,6 +196,7 @@
         {"discovery_moved", {Fault::Kind::kDiscoveryMoved, {"at", "for", "share"}}},
         {"signals", {Fault::Kind::kSignals, {"at", "for", "share", "count"}}},
         {"idle_clients", {Fault::Kind::kIdleClients, {"at", "for", "share", "count"}}},
+        {"stopped_clients", {Fault::Kind::kStoppedClients, {"at", "for", "share", "count"}}},
         {"discovery_silent", {Fault::Kind::kDiscoverySilent, {"at", "for"}}},
         {"discovery_slow", {Fault::Kind::kDiscoverySlow, {"at", "for", "each"}}},
         {"hosts_replaced", {Fault::Kind::kHostsReplaced, {"at", "for", "count", "same_address", "drain"}}}};
--- a/src/model/scenario.hpp
+++ b/src/model/scenario.hpp
@@ -41,6 +41,8 @@
     kSignals,         // `share` of the relays get `count` signals that don't end them, one after another
     kIdleClients,     // `count` clients connect to `share` of the relays, send nothing, and disconnect at the
                       // end
+    kStoppedClients,  // the same with clients that send a large request except its end, and come again when
+                      // they are closed
   };
   Kind kind = Kind::kListDelayed;
   Range at, duration;  // s
--- a/src/model/soak.cpp
+++ b/src/model/soak.cpp
@@ -47,6 +47,11 @@
   return fault;
 }
 
+// Crowds of DrawCrowdedSoak.
+constexpr double kStoppedCrowdChance = 0.6, kIdleCrowdChance = 0.3;
+// The least memory of a deployment, half of what it has on scored days, and all of that.
+constexpr std::array kMemoryMb = {32, 96, 192};
+
 Fault DrawIdleClients(RandomStream& random) {
   Fault idle_clients = DrawFault(Kind::kIdleClients, random);
   idle_clients.count = 50 + static_cast<int>(random.UniformBelow(200));
@@ -93,6 +98,34 @@
   return faults;
 }
 
+// Processes are killed, and those that run again are killed once more before they have served for long.
+std::vector<Fault> DrawKillSeries(RandomStream& random) {
+  const double at = random.UniformBetween(1, 7), downtime = 1;
+  const double share = random.UniformBetween(0.4, 1);
+  std::vector<Fault> faults;
+  for (const double when : {at, at + downtime + random.UniformBetween(0.6, 1.1)}) {
+    Fault killed = WithTimes(when, downtime, DrawFault(Kind::kRelaysKilled, random));
+    killed.share = Exactly(share);
+    faults.push_back(killed);
+  }
+  return faults;
+}
+
+Fault DrawSignalSeries(RandomStream& random) {
+  Fault signals = DrawFault(Kind::kSignals, random);
+  signals.count = 4 + static_cast<int>(random.UniformBelow(9));
+  return signals;
+}
+
+Fault DrawCrowd(Kind kind, int min_count, int max_count, RandomStream& random) {
+  Fault crowd = DrawFault(kind, random);
+  crowd.at = Exactly(random.UniformBetween(0.5, 3));
+  crowd.duration = Exactly(random.UniformBetween(4, 9));
+  crowd.share = Exactly(random.UniformBetween(0.3, 0.7));
+  crowd.count = min_count + static_cast<int>(random.UniformBelow(max_count - min_count + 1));
+  return crowd;
+}
+
 }  // namespace
 
 Scenario DrawSoak(std::uint64_t seed) {
@@ -125,4 +158,19 @@
   return scenario;
 }
 
+Scenario DrawCrowdedSoak(std::uint64_t seed) {
+  RandomStream random(seed, "crowded-soak");
+  Scenario scenario = DrawSoak(seed);
+  scenario.name = "crowded-" + scenario.name;
+  scenario.version = scenario.name;
+  scenario.relay.memory_mb = kMemoryMb[random.UniformBelow(kMemoryMb.size())];
+  for (Fault& fault : DrawKillSeries(random)) scenario.faults.push_back(std::move(fault));
+  scenario.faults.push_back(DrawSignalSeries(random));
+  if (random.Bernoulli(kStoppedCrowdChance))
+    scenario.faults.push_back(DrawCrowd(Kind::kStoppedClients, 250, 420, random));
+  if (random.Bernoulli(kIdleCrowdChance))
+    scenario.faults.push_back(DrawCrowd(Kind::kIdleClients, 300, 900, random));
+  return scenario;
+}
+
 }  // namespace oxbowspread::model
--- a/src/model/soak.hpp
+++ b/src/model/soak.hpp
@@ -13,4 +13,8 @@
 // On each such day hosts drain and relays are restarted.
 Scenario DrawSoak(std::uint64_t seed);
 
+// The day of the same seed with less memory, processes that are killed again soon after their start, signals
+// in series and, on most days, crowds of clients that send nothing or stop within a large request.
+Scenario DrawCrowdedSoak(std::uint64_t seed);
+
 }  // namespace oxbowspread::model
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -55,8 +55,8 @@
   return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-Connection::Connection(Loop& loop, int fd, Handler& handler, std::size_t buffer_limit)
-    : loop_(loop), handler_(handler), fd_(fd), in_(buffer_limit), out_(buffer_limit), io_(loop.ref()) {
+Connection::Connection(Loop& loop, int fd, Handler& handler, const BufferLimits& limits)
+    : loop_(loop), handler_(handler), fd_(fd), in_(limits.receive), out_(limits.send), io_(loop.ref()) {
   DisableNagle(fd);
   io_.set<Connection, &Connection::OnIo>(this);
   UpdateWatcher();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -39,8 +39,15 @@
 
   static constexpr std::size_t kBufferBytes = 128 * 1024;
 
+  // Limits of the two buffers, in bytes.
+  struct BufferLimits {
+    std::size_t receive = kBufferBytes, send = kBufferBytes;
+  };
+
   // Takes ownership of an accepted, non-blocking socket. `buffer_limit` is in bytes, for each direction.
-  Connection(Loop& loop, int fd, Handler& handler, std::size_t buffer_limit = kBufferBytes);
+  Connection(Loop& loop, int fd, Handler& handler, std::size_t buffer_limit = kBufferBytes)
+      : Connection(loop, fd, handler, BufferLimits{buffer_limit, buffer_limit}) {}
+  Connection(Loop& loop, int fd, Handler& handler, const BufferLimits& limits);
   // Starts to connect. Returns null if no socket could be created. Later failures are reported through
   // OnClosed.
   static std::unique_ptr<Connection> Open(Loop& loop, const Address& to, Handler& handler,
--- a/tests/relay/client_race_test.cpp
+++ b/tests/relay/client_race_test.cpp
@@ -205,6 +205,17 @@
   CHECK(messages.All().size() == 1);
 }
 
+TEST_CASE("a PING with a long argument is answered with that argument") {
+  RelayFixture fixture;
+  fixture.relay.Start();
+  const std::string argument(30 * 1024, 'x');
+  Client client(fixture.relay);
+  client.socket().Send("*2\r\n$4\r\nPING\r\n$" + std::to_string(argument.size()) + "\r\n" + argument +
+                       "\r\n");
+  CHECK(client.ReadLine() == "$" + std::to_string(argument.size()));
+  CHECK(client.ReadLine() == argument);
+}
+
 TEST_CASE("a client that repeatedly sends thousands of requests and disconnects does not affect others") {
   RelayFixture fixture;
   fixture.relay.environment["ASAN_OPTIONS"] = "quarantine_size_mb=1:malloc_context_size=2";
