--- a/src/apps/oxbowspread.cpp
+++ b/src/apps/oxbowspread.cpp
@@ -62,6 +62,16 @@
   std::string stamp;      // opaque text that `status` returns, so that the caller can identify this process
 };
 
+// Returns the most resident memory that this process has used so far; 0 if the system does not tell.
+long PeakMemoryKb() {
+  constexpr std::string_view kLabel = "VmHWM:";
+  std::ifstream status("/proc/self/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kLabel)) return std::strtol(line.c_str() + kLabel.size(), nullptr, 10);
+  }
+  return 0;
+}
+
 // Implements the clock and wake-up timer of the relay core on the event loop.
 class LoopClock final : public relay::Clock {
  public:
@@ -466,11 +476,15 @@
            "\njournal_pending_bytes=" + std::to_string(journal_.budget().pending_bytes()) +
            "\njournal_rewrites=" + std::to_string(journal_.rewrites()) +
            "\nfolder_peak_bytes=" + std::to_string(journal_.budget().peak_bytes()) +
+           "\nclient_bytes=" + std::to_string(clients_ ? clients_->receive_budget().reserved_bytes() : 0) +
+           "\nclient_peak_bytes=" + std::to_string(clients_ ? clients_->receive_budget().peak_bytes() : 0) +
            "\ndrain_ms=" + std::to_string(drain_ms_) +
            "\nlist_age_ms=" + std::to_string(discovery_.time_since_received() / 1ms) + "\n" +
            counters_.Text();
   }
-  void PrintCounters() const { std::cout << CountersText() << std::flush; }
+  void PrintCounters() const {
+    std::cout << CountersText() << "memory_peak_kb=" << PeakMemoryKb() << "\n" << std::flush;
+  }
 
   Options options_;
   // The folder lock, and the state that another process handed over, which is applied up to kServing.
--- a/src/client/client_server.cpp
+++ b/src/client/client_server.cpp
@@ -343,6 +343,7 @@
 
 void ClientServer::AwaitRoom(Client& client) {
   awaiting_room_.push_back(&client);
+  counters_.commands_awaiting_room += 1;
   if (!room_timer_.active()) room_timer_.After(kRoomCheckInterval);
 }
 
--- a/src/client/client_server.hpp
+++ b/src/client/client_server.hpp
@@ -135,6 +135,7 @@
   net::Time idle_since() const { return idle_since_; }
   void SetMaxClients(std::size_t max_clients) { max_clients_ = max_clients; }
   std::size_t client_count() const { return clients_.size(); }
+  const ReceiveBudget& receive_budget() const { return receive_budget_; }
 
  private:
   friend class Client;
--- a/src/client/receive_budget.hpp
+++ b/src/client/receive_budget.hpp
@@ -27,13 +27,16 @@
   // Reserves room for a command, or more of it. Returns false and reserves nothing if there is none.
   [[nodiscard]] bool TryReserve(std::size_t bytes, Arrival arrival);
   // Reserves room that another process has granted, even if this exceeds the limit.
-  void Reserve(std::size_t bytes) { reserved_bytes_ += bytes; }
+  void Reserve(std::size_t bytes);
   void Release(std::size_t bytes) { reserved_bytes_ -= bytes; }
   std::size_t reserved_bytes() const { return reserved_bytes_; }
+  // The most that was reserved at one time.
+  std::size_t peak_bytes() const { return peak_bytes_; }
 
  private:
   std::size_t limit_bytes_;
   std::size_t reserved_bytes_ = 0;
+  std::size_t peak_bytes_ = 0;
 };
 
 }  // namespace oxbowspread::client
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -51,6 +51,7 @@
       {"clients_evicted", clients_evicted},
       {"clients_evicted_unasked", clients_evicted_without_command},
       {"clients_too_slow", clients_timed_out},
+      {"commands_awaiting_room", commands_awaiting_room},
       {"reloads", reloads},
       {"reloads_refused", reloads_refused},
       {"hosts_out", hosts_excluded},
--- a/src/relay/counters.hpp
+++ b/src/relay/counters.hpp
@@ -34,6 +34,7 @@
   std::uint64_t list_leases_expired = 0;  // number of times that the routing table became too old to be used
   std::uint64_t clients = 0, clients_rejected = 0, clients_evicted = 0, clients_evicted_without_command = 0,
                 clients_timed_out = 0;
+  std::uint64_t commands_awaiting_room = 0;  // commands that were not read at once, for want of memory
   std::uint64_t reloads = 0, reloads_refused = 0;
   std::uint64_t hosts_excluded = 0;  // current number of hosts excluded by operators
   std::uint64_t steps = 0, longest_step_delay_us = 0, longest_step_us = 0;
--- a/tests/lab/program_test.cpp
+++ b/tests/lab/program_test.cpp
@@ -125,6 +125,15 @@
   CHECK(run.exit_code == 0);
 }
 
+// They take a relay of 32 MB over its limit where nothing bounds the commands of its clients.
+TEST_CASE("oxbowlab soak: days with crowds and kills in series keep every rule and the memory limit",
+          "[lab]") {
+  const ProcessResult run = RunLab({"soak", "--crowds", "--seeds", "57022,57034,57042,57056", "--jobs", "2",
+                                    "--relay", OXBOWSPREAD_RELEASE});
+  INFO(run.out << run.err);
+  CHECK(run.exit_code == 0);
+}
+
 TEST_CASE("oxbowlab: invalid input gives one line of error text and exit code 2", "[lab]") {
   TemporaryFolder folder;
   const std::string good = folder.Write("day.yaml", "length: 2s\n"),
--- a/tests/relay/memory_limit_test.cpp
+++ b/tests/relay/memory_limit_test.cpp
@@ -183,6 +183,11 @@
     });
   }
   for (Client& client : slow_clients) CHECK(client.ReadLine() == "+OK");
+  std::map<std::string, long> counters = Client(fixture.relay).Counters();
+  CHECK(counters["commands_awaiting_room"] > 0);
+  CHECK(counters["client_peak_bytes"] >= counters["client_bytes"]);
+  fixture.relay.Signal(SIGUSR1);
+  fixture.relay.WaitForLog("memory_peak_kb=");
   fixture.CheckMemory();
 }
 
