Don't close a client to make room while commands that it sent wait in its buffer

Cause: a client between two answers counted as idle, and only the kernel was asked for unread bytes; the rest of its commands were in the connection's buffer. Change: Client::all_read asks for both.

--- a/src/client/client_server.cpp
+++ b/src/client/client_server.cpp
@@ -325,7 +325,7 @@
     const Client::RetentionPriority priority = client->retention_priority(now);
     if (priority <= highest) candidates.emplace_back(priority, client->priority_since(), client);
   }
-  // A connection with unread bytes is no longer idle.
+  // A connection with unread bytes, in the kernel or in its buffer, is no longer idle.
   const auto is_retained = [](const auto& candidate) {
     return std::get<0>(candidate) != Client::RetentionPriority::kNone && !std::get<2>(candidate)->all_read();
   };
--- a/src/client/client_server.hpp
+++ b/src/client/client_server.hpp
@@ -45,9 +45,12 @@
   // Time since which the connection has had that priority. Among equal priorities the earliest is closed
   // first.
   net::Time priority_since() const { return idle() ? idle_since_ : last_received_at_; }
-  // Returns whether no bytes of a command have arrived that will be read without further ones. A command for
-  // which there is no room is only read once it is complete, or there is room.
-  bool all_read() const { return connection_.IsIdle() || (awaiting_room_ && !is_command_complete()); }
+  // Returns whether nothing has arrived that the client is owed an answer for, as far as is known without
+  // reading on. A command for which there is no room is only read once it is complete, or there is room.
+  bool all_read() const {
+    if (awaiting_room_) return !is_command_complete();
+    return connection_.buffered_bytes() == 0 && connection_.IsIdle();
+  }
   // Continues with the command for which there was no room, if there is room now.
   void RetryReserve();
   void Close();
--- a/tests/relay/client_race_test.cpp
+++ b/tests/relay/client_race_test.cpp
@@ -205,6 +205,32 @@
   CHECK(messages.All().size() == 1);
 }
 
+TEST_CASE("a crowd that connects takes no answer away from clients that have sent many requests at once") {
+  constexpr int kClients = 4, kRequests = 8, kCrowd = 200;
+  RelayFixture fixture;
+  fixture.relay.config["limits"]["sockets"] = 64;  // 19 clients
+  fixture.relay.Start();
+  std::vector<Client> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(fixture.relay);
+    REQUIRE(clients.back().Ask(kPing) == "+PONG");
+  }
+  fixture.relay.Suspend();
+  for (int i = 0; i < kClients; ++i) {
+    std::string requests;
+    for (int j = 0; j < kRequests; ++j) requests += Put(std::to_string(i) + "-" + std::to_string(j));
+    clients[static_cast<std::size_t>(i)].socket().Send(requests);
+  }
+  std::deque<Client> crowd;
+  for (int i = 0; i < kCrowd; ++i) crowd.emplace_back(fixture.relay);
+  fixture.relay.Resume();
+  int answers = 0;
+  for (Client& client : clients) {
+    for (int j = 0; j < kRequests; ++j) answers += IsAnswer(client.ReadLine());
+  }
+  CHECK(answers == kClients * kRequests);
+}
+
 TEST_CASE("a PING with a long argument is answered with that argument") {
   RelayFixture fixture;
   fixture.relay.Start();
