--- a/review/tools-2/group.sh
+++ b/review/tools-2/group.sh
@@ -56,6 +56,8 @@
   # A throw-away site, for three more free ports.
   "$bin/oxbowstandin" site "$folder/ports" --instances 1 --agents 3 >/dev/null
   port_of() { sed -n "s/.*name: host-$1, address: \"127.0.0.1:\([0-9]*\)\".*/\1/p" "$2"; }
+  # And three for an operator on another host, whose lines to the agents are his own.
+  "$bin/oxbowstandin" site "$folder/operator" --instances 1 --agents 3 >/dev/null
   declare -gA line real
   for name in a b c; do
     real[$name]=$(port_of $name "$folder/site/group.yaml")
@@ -65,6 +67,15 @@
     pids+=($!)
     disown
   done
+  cp "$folder/site/group.yaml" "$folder/site/group-operator.yaml"
+  for name in a b c; do
+    port=$(port_of $name "$folder/operator/group.yaml")
+    : >"$folder/operator-$name"
+    "$bin/line_proxy" "$port" "${real[$name]}" "$folder/operator-$name" "$record" &
+    pids+=($!)
+    disown
+    sed -i "s/127.0.0.1:${real[$name]}\"/127.0.0.1:$port\"/" "$folder/site/group-operator.yaml"
+  done
   IFS=, read -r -a addresses <<<"$relays"
   declare -gA relay_port
   relay_port[a]=${addresses[0]##*:} relay_port[b]=${addresses[1]##*:} relay_port[c]=${addresses[2]##*:}
--- a/review/tools-2/line_proxy.cpp
+++ b/review/tools-2/line_proxy.cpp
@@ -9,6 +9,9 @@
 //   deliver N   what was kept back is forwarded now, in its order
 //   cut N       nothing gets through any more, on open and new connections; their bytes are lost
 //   back N      the connections that were open during the cut are reset; new ones are forwarded
+//   mute N      on connections that are opened from now on, answers are lost: what the target sends is
+//   dropped
+//               once the caller has sent something for the second time (the first is a TLS handshake)
 // N is any number that makes the text differ from the one before.
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -38,7 +41,8 @@
 struct Line {
   int number = 0;
   Way ways[2];
-  bool held = false, cut = false, broken = false;
+  bool held = false, cut = false, mute = false, broken = false;
+  int caller_sends = 0;
   std::size_t kept_bytes = 0;
 };
 
@@ -112,7 +116,7 @@
   std::string last_command;
   int next_number = 1;
   double next_command_at = 0;
-  bool is_cut = false;
+  bool is_cut = false, is_mute = false;
   while (true) {
     if (Now() >= next_command_at) {
       next_command_at = Now() + 0.005;
@@ -123,6 +127,7 @@
         std::size_t kept = 0;
         const std::string word = command.substr(0, command.find(' '));
         is_cut = word == "cut";
+        is_mute = word == "mute";
         for (Line& line : lines) {
           if (word == "cut") line.held = line.cut = true;
           if (word == "back" && line.cut) line.broken = true;
@@ -158,6 +163,7 @@
       Line line;
       line.number = next_number++;
       line.held = line.cut = is_cut;
+      line.mute = is_mute;
       line.ways[0] = {client, server, {}, false, false};
       line.ways[1] = {server, client, {}, false, false};
       lines.push_back(std::move(line));
@@ -165,7 +171,10 @@
     }
     for (auto it = lines.begin(); it != lines.end();) {
       Line& line = *it;
+      const std::size_t unsent = line.ways[0].bytes.size();
       for (Way& way : line.ways) ReadInto(way, line);
+      line.caller_sends += line.ways[0].bytes.size() > unsent;
+      if (line.mute && line.caller_sends >= 2) line.ways[1].bytes.clear();
       if (!line.held) {
         for (Way& way : line.ways) WriteFrom(way, line);
       }
